--- a/yewdeck/drill.py
+++ b/arrowkeel/drill.py
@@ -5,9 +5,9 @@
 import sys
 from typing import TextIO
 
-from yewdeck import interface as it
-from yewdeck import wire
-from yewdeck.policy import Policy
+from arrowkeel import interface as it
+from arrowkeel import wire
+from arrowkeel.policy import Policy
 
 REMEMBERED = 50_000  # calls and exchanges an agent is held to know, so that a long run needs no more memory
 
--- a/yewdeck/interface.py
+++ b/arrowkeel/interface.py
@@ -1,4 +1,4 @@
-"""The types that `yewdeck.policy.Policy` takes and gives: settings, events, actions. No decisions.
+"""The types that `arrowkeel.policy.Policy` takes and gives: settings, events, actions. No decisions.
 
 Times are integer nanoseconds of one monotonic clock of arbitrary origin. An exchange is named twice: by its
 `exchange` identifier (a machine; a replacement gets a new one) and by its `number` (a place in the mesh).
--- a/yewdeck/policy.py
+++ b/arrowkeel/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of yewdeck, in one module; its settings, events and actions are in yewdeck/interface.py.
+"""Every decision of arrowkeel, in one module; its settings, events and actions are in arrowkeel/interface.py.
 
 The ordinary path is the hysteretic rate control of docs/design.md: an aged entry per processor, direct route
 first, then a weighted tandem, the last circuits kept back. Pressure is one figure, scaled so that H = 1.
@@ -10,8 +10,8 @@
 from random import Random
 from typing import Any
 
-from yewdeck import interface as it
-from yewdeck.state import Bucket, CallState, FirstTimes, GrowingGaps, Outstanding, Route, S, Times
+from arrowkeel import interface as it
+from arrowkeel.state import Bucket, CallState, FirstTimes, GrowingGaps, Outstanding, Route, S, Times
 
 NORMAL, OVERLOAD, BLOCKING = range(3)
 STATES = ("normal", "overload", "blocking")
--- a/yewdeck/state.py
+++ b/arrowkeel/state.py
@@ -7,7 +7,7 @@
 from itertools import islice, takewhile
 from typing import Generic, TypeVar
 
-from yewdeck import interface as it
+from arrowkeel import interface as it
 
 S = 1_000_000_000
 C = TypeVar("C")
--- a/yewdeck/wire.py
+++ b/arrowkeel/wire.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
-from yewdeck import interface as it
+from arrowkeel import interface as it
 
 ENDINGS = {
     "served": it.Ending.COMPLETED,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from yewdeck import Policy
-from yewdeck import interface as it
+from arrowkeel import Policy
+from arrowkeel import interface as it
 
 MS = 1_000_000
 S = 1_000_000_000
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.conftest import MS, SETTINGS, Desk, S, answers, sent
-from yewdeck import interface as it
+from arrowkeel import interface as it
 
 
 def test_a_full_processor_is_left_alone_for_the_validity_time() -> None:
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-POLICY = ROOT / "yewdeck" / "policy.py"
+POLICY = ROOT / "arrowkeel" / "policy.py"
 
 
 def test_policy_is_within_460_lines_of_110_characters() -> None:
@@ -13,7 +13,7 @@
 
 
 def test_policy_names_its_interface_file_at_the_top() -> None:
-    assert "yewdeck/interface.py" in POLICY.read_text().split('"""')[1]
+    assert "arrowkeel/interface.py" in POLICY.read_text().split('"""')[1]
 
 
 def test_readme_example_runs() -> None:
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -6,8 +6,8 @@
 from hypothesis import strategies as st
 
 from tests.conftest import MS, SETTINGS, S, listed
-from yewdeck import Policy
-from yewdeck import interface as it
+from arrowkeel import Policy
+from arrowkeel import interface as it
 
 STEPS = st.lists(
     st.tuples(st.sampled_from(["offer", "stand", "end", "list", "free", "wait"]), st.integers(0, 10**6)),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.conftest import MS, SETTINGS, Desk, S, answers, listed, sent
-from yewdeck import interface as it
+from arrowkeel import interface as it
 
 ENDED_UNSURE = [it.Ending.NO_ANSWER, it.Ending.CUT, it.Ending.CALLED_OFF]
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.conftest import MS, SETTINGS, Desk, S, answers, listed, sent
-from yewdeck import Policy
-from yewdeck import interface as it
+from arrowkeel import Policy
+from arrowkeel import interface as it
 
 AGENTS = 60
 CROWDED = replace(SETTINGS, agents=AGENTS)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from yewdeck import interface as it
-from yewdeck import wire
-from yewdeck.drill import Drill, Known
+from arrowkeel import interface as it
+from arrowkeel import wire
+from arrowkeel.drill import Drill, Known
 
 OPTIONS = json.dumps(
     {
