--- a/arrowkeel/drill.py
+++ b/arrowkeel/drill.py
@@ -1,8 +1,7 @@
-"""The loop on standard input and output: hosts many agents that share nothing. No decision is made here."""
+"""Batches of simulator lines to replies: hosts many agents that share nothing. No decision is made here."""
 
 from __future__ import annotations
 
-import sys
 from typing import TextIO
 
 from arrowkeel import interface as it
@@ -165,11 +164,3 @@
         self.answers.write("\n".join(out) + "\n")
         self.answers.flush()
         self.in_batch = False
-
-
-def main() -> int:
-    return Drill(sys.stdout, sys.stderr).run(sys.stdin)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- /dev/null
+++ b/arrowkeel/net/config.py
@@ -0,0 +1,173 @@
+"""The configuration: JSON read once into the few values that the program uses."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from arrowkeel import interface as it
+from arrowkeel import wire
+
+MS = 1_000_000
+LIFECYCLES = {
+    "up": it.Listing.SERVING,
+    "draining": it.Listing.DRAINING,
+    "removed": it.Listing.GONE,
+}
+
+
+class ConfigError(ValueError):
+    """A configuration that cannot be used; the text names the field."""
+
+
+class MalformedNewsError(ValueError):
+    """An entry of the list of exchanges that cannot be read; the text names the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    host: str
+    port: int
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """An exchange as the list names it: what the module is told, and where it listens."""
+
+    listed: it.ListedExchange
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """One numbered event of the list; without entries it tells only the last number."""
+
+    seq: int
+    complete: bool = False
+    entries: tuple[Entry, ...] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """The one place where the list's Unix milliseconds become the module's monotonic nanoseconds.
+
+    The distance is taken once, so that an entry told twice has the same start both times.
+    """
+
+    unix_ahead_ns: int
+
+    @classmethod
+    def now(cls) -> Clock:
+        return cls(time.time_ns() - time.monotonic_ns())
+
+    def monotonic_ns(self, unix_ms: int) -> int:
+        return max(0, unix_ms * MS - self.unix_ahead_ns) if unix_ms > 0 else 0
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    seed: int
+    descriptors: int
+    changelog: Address
+    known: tuple[News, ...]
+    last_seq: int
+    settings: it.Settings
+    report_names: tuple[str, ...]
+    open_limit: int
+    dial_ns: int
+    clock: Clock
+
+
+def read_address(value: object, where: str) -> Address:
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{where}: {value!r} is no host:port")
+    return Address(host, int(port))
+
+
+def field_of(raw: Mapping[str, Any], name: str, kind: type, where: str = "") -> Any:
+    value = raw.get(name)
+    if not isinstance(value, kind) or isinstance(value, bool) is not (kind is bool):
+        raise ConfigError(f"{where}{name}: {'missing' if value is None else f'not {kind.__name__}'}")
+    return value
+
+
+def read_entry(raw: Any, clock: Clock) -> Entry:
+    try:
+        identity, lifecycle = raw["instanceId"], raw["lifecycle"]
+        if not isinstance(identity, str) or not identity or lifecycle not in LIFECYCLES:
+            raise MalformedNewsError(f"instanceId or lifecycle: {identity!r}, {lifecycle!r}")
+        listed = it.ListedExchange(
+            exchange=identity,
+            number=int(raw["cell"]),
+            listing=LIFECYCLES[lifecycle],
+            zone=str(raw.get("zone", "")),
+            kind=str(raw.get("machineType", "")),
+            rating=float(raw.get("weight", 1.0)),
+            started_ns=clock.monotonic_ns(int(raw.get("startedAtMs") or 0)),
+        )
+        return Entry(listed, read_address(raw["hostPort"], "hostPort"))
+    except KeyError as error:
+        raise MalformedNewsError(f"{error.args[0]}: missing") from None
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise MalformedNewsError(str(error)) from None
+
+
+def read_news(raw: Any, clock: Clock) -> News:
+    """One event; raises MalformedNewsError on what cannot be read. Other kinds of news are only counted."""
+    seq = raw.get("seq") if isinstance(raw, dict) else None
+    if not isinstance(seq, int) or isinstance(seq, bool) or seq < 0:
+        raise MalformedNewsError("seq: not a whole number")
+    fleet = raw.get("fleet")
+    if fleet is None:
+        return News(seq)
+    instances = fleet.get("instances") if isinstance(fleet, dict) else None
+    if not isinstance(instances, list):
+        raise MalformedNewsError("fleet.instances: not a list")
+    return News(seq, bool(fleet.get("reset", False)), tuple(read_entry(entry, clock) for entry in instances))
+
+
+def read_config(text: str, clock: Clock) -> Config:
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        raise ConfigError(f"configuration: not JSON ({error})") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("configuration: not an object")
+    limits, known = field_of(raw, "limits", dict), field_of(raw, "known", dict)
+    settings = field_of(raw, "settings", dict)
+    try:
+        seed = int(field_of(raw, "seed", str), 16)
+    except ValueError:
+        raise ConfigError("seed: not a hexadecimal number") from None
+    descriptors = field_of(limits, "sockets", int, "limits.")
+    if descriptors < 32:
+        raise ConfigError("limits.sockets: fewer than 32 are too few")
+    try:
+        news = tuple(read_news(entry, clock) for entry in field_of(known, "results", list, "known."))
+    except MalformedNewsError as error:
+        raise ConfigError(f"known.results: {error}") from None
+    try:
+        read, names = wire.read_settings(json.dumps(settings))
+    except wire.MalformedError as error:
+        raise ConfigError(f"settings: {error}") from None
+    allowed = field_of(settings, "permissions", dict, "settings.")
+    return Config(
+        name=field_of(raw, "name", str),
+        listen=read_address(raw.get("listen"), "listen"),
+        seed=seed,
+        descriptors=descriptors,
+        changelog=read_address(raw.get("changelog"), "changelog"),
+        known=news,
+        last_seq=field_of(known, "seq", int, "known."),
+        settings=read,
+        report_names=names,
+        open_limit=field_of(allowed, "maxOpen", int, "settings.permissions."),
+        dial_ns=field_of(allowed, "dialTimeoutNs", int, "settings.permissions."),
+        clock=clock,
+    )
