--- /dev/null
+++ b/arrowkeel/__main__.py
@@ -0,0 +1,65 @@
+"""The real call controller's process: reads the configuration, runs the loop, stops in order on SIGTERM."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+
+import structlog
+import uvloop
+
+from arrowkeel.net.config import Clock, Config, ConfigError, read_config
+from arrowkeel.net.controller import Controller
+from arrowkeel.policy import Policy
+
+
+def load() -> Config:
+    path = os.environ.get("LB_CONFIG", "")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set")
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"LB_CONFIG: {error}") from None
+    return read_config(text, Clock.now())
+
+
+async def serve(config: Config) -> None:
+    log = structlog.get_logger()
+    controller = Controller(config, Policy(config.settings, config.seed))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, controller.stop)
+    await controller.start()
+    log.info("started", name=config.name, listen=f"{config.listen.host}:{config.listen.port}")
+    await controller.finished
+    await controller.finish()
+    log.info("stopped")
+
+
+def main() -> int:
+    level = logging.DEBUG if os.environ.get("ARROWKEEL_LOG") == "debug" else logging.INFO
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.KeyValueRenderer(key_order=["timestamp", "level", "event"]),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        cache_logger_on_first_use=True,
+    )
+    try:
+        config = load()
+    except ConfigError as error:
+        print(f"arrowkeel cannot start: {error}", file=sys.stderr)
+        return 2
+    uvloop.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/arrowkeel/net/codec.py
+++ b/arrowkeel/net/codec.py
@@ -1,7 +1,7 @@
 """Messages and parameters to bytes and back: pure, incremental, without sockets or clock.
 
-    message   = length:2 type:1 call:8 parameters    length counts all that follows it, big-endian
-    parameter = code:1 length:2 value
+message   = length:2 type:1 call:8 parameters    length counts all that follows it, big-endian
+parameter = code:1 length:2 value
 """
 
 from __future__ import annotations
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -38,7 +38,7 @@
     """An exchange as the list names it: what the module is told, and where it listens."""
 
     listed: it.ListedExchange
-    address: Address
+    address: Address | None  # None only for one that is gone
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,7 +92,7 @@
 
 def field_of(raw: Mapping[str, Any], name: str, kind: type, where: str = "") -> Any:
     value = raw.get(name)
-    if not isinstance(value, kind) or isinstance(value, bool) is not (kind is bool):
+    if not isinstance(value, kind) or isinstance(value, bool):
         raise ConfigError(f"{where}{name}: {'missing' if value is None else f'not {kind.__name__}'}")
     return value
 
@@ -111,7 +111,8 @@
             rating=float(raw.get("weight", 1.0)),
             started_ns=clock.monotonic_ns(int(raw.get("startedAtMs") or 0)),
         )
-        return Entry(listed, read_address(raw["hostPort"], "hostPort"))
+        gone = listed.listing is it.Listing.GONE
+        return Entry(listed, None if gone else read_address(raw["hostPort"], "hostPort"))
     except KeyError as error:
         raise MalformedNewsError(f"{error.args[0]}: missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as error:
--- /dev/null
+++ b/arrowkeel/net/controller.py
@@ -0,0 +1,425 @@
+"""The call table and the turn: events in, one `Policy.handle`, its actions out. No decision is made here."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import structlog
+
+from arrowkeel import interface as it
+from arrowkeel.drill import Known
+from arrowkeel.net.callers import CallerLine, Offer
+from arrowkeel.net.changelog import ChangeLog
+from arrowkeel.net.codec import Clear
+from arrowkeel.net.config import MS, Config, News
+from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from arrowkeel.policy import Policy
+
+ACCEPT_NS = 700 * MS  # after SIGTERM calls go on coming for so long
+FLUSH_NS = 300 * MS  # for the last answers to be read, at the end
+OVERDUE_NS = 15 * MS  # past its caller's time a call is ended here, whatever the module did
+ENDED_REMEMBERED = 20_000  # ids of ended calls: what crosses their end, or comes twice, is of no call
+KEPT_LIMIT = 4096  # releases that wait for a connection
+DESCRIPTIONS_LIMIT = 32 << 20  # bytes held for calls that may still be sent
+LINES_SHARE = 0.6  # of the descriptors, for connections from callers, who hold at most a third
+log = structlog.get_logger()
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """A call from its set-up until it is refused, fails or is over."""
+
+    line: CallerLine
+    offer: Offer
+    deadline_ns: int
+    timer: asyncio.TimerHandle | None = None
+    attempts: int = 0
+    pool: ExchangePool | None = None  # of the attempt that is out, or where the call stands
+    sent_ns: int = 0
+    abandon_at_ns: int = 0
+    stood_ns: int = 0
+
+
+class Controller:
+    """One call controller. It carries out what the module decides, and tells it what came of it."""
+
+    def __init__(self, config: Config, policy: Policy) -> None:
+        self.config, self.policy = config, policy
+        self.loop = asyncio.get_running_loop()
+        self.class_names = frozenset(kind.name for kind in config.settings.classes)
+        self.calls: dict[str, CallRecord] = {}
+        self.open_calls = 0
+        self.described = 0  # bytes of descriptions held
+        self.ended = Known(ENDED_REMEMBERED)
+        self.lines: dict[CallerLine, None] = {}
+        self.pools: dict[str, ExchangePool] = {}
+        self.started: dict[str, int] = {}
+        self.stood_at: dict[str, set[str]] = {}  # calls standing at each exchange
+        self.kept_for_callers: dict[str, int] = {}
+        self.kept_for_exchanges: dict[str, int] = {}
+        self.events: list[it.Event] = []
+        self.turn_due = False
+        self.changelog = ChangeLog(config.changelog, config.last_seq, config.clock, self.news)
+        self.server: asyncio.Server | None = None
+        self.stop_at_ns = 0
+        self.finished: asyncio.Future[None] = self.loop.create_future()
+
+    # Start and stop
+
+    async def start(self) -> None:
+        for index, news in enumerate(self.config.known):
+            self.news(news, remembered=index == 0)
+        listen = self.config.listen
+        self.server = await self.loop.create_server(
+            lambda: CallerLine(self), listen.host, listen.port, backlog=256
+        )
+        self.changelog.start()
+
+    def stop(self) -> None:
+        """Calls go on being taken for a while; the end comes once every open call has its answer."""
+        if not self.stop_at_ns:
+            self.stop_at_ns = time.monotonic_ns() + ACCEPT_NS
+            log.info("stopping", open_calls=self.open_calls)
+            self.finish_if_due()
+
+    def finish_if_due(self) -> None:
+        now = time.monotonic_ns()
+        if self.finished.done():
+            return
+        if now >= self.stop_at_ns and self.server is not None:
+            self.server.close()
+        if now >= self.stop_at_ns and not self.open_calls:
+            self.finished.set_result(None)
+        else:
+            self.loop.call_later(0.01, self.finish_if_due)
+
+    async def finish(self) -> None:
+        """The last answers leave before the connections close."""
+        self.changelog.stop()
+        until_ns = time.monotonic_ns() + FLUSH_NS
+        for line in self.lines:
+            line.close()
+        while self.lines and time.monotonic_ns() < until_ns:
+            await asyncio.sleep(0.005)
+        for pool in self.pools.values():
+            pool.shut()
+        await asyncio.sleep(0.005)
+
+    # The turn
+
+    def tell(self, event: it.Event) -> None:
+        """Queue an event for the turn at the end of this pass of the loop, with all that is ready."""
+        self.events.append(event)
+        if not self.turn_due:
+            self.turn_due = True
+            self.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        self.turn_due = False
+        events, self.events = self.events, []
+        now = time.monotonic_ns()
+        for place, event in enumerate(events):
+            if isinstance(event, it.CallOffered) and (record := self.calls.get(event.call)):
+                events[place] = replace(event, patience_ns=max(0, record.deadline_ns - now))
+        for action in self.policy.handle(now, events):
+            self.carry_out(action, now)
+
+    def carry_out(self, action: it.Action, now: int) -> None:
+        match action:
+            case it.SetUp(call, exchange, abandon_at_ns):
+                self.set_up(call, exchange, abandon_at_ns, now)
+            case it.Refuse(call, redial_after_ns):
+                if record := self.end(call):
+                    record.line.refuse(call, redial_after_ns)
+            case it.Fail(call):
+                if record := self.end(call):
+                    record.line.fail(call)
+            case it.CancelAttempt(call, attempt):
+                record = self.calls.get(call)
+                if record is not None and record.attempts - 1 == attempt:
+                    self.abandon(call, record, it.Ending.CALLED_OFF)
+            case it.SetTimer(after_ns, label):
+                self.ring_at(now + after_ns, lambda: self.tell(it.TimerRang(label)))
+            case it.Note(text):
+                log.debug(text)
+            case it.Probe() | it.FollowList():
+                pass  # a test shows only that a connection works, and the change log comes unasked
+
+    def ring_at(self, due_ns: int, ring: Callable[[], None]) -> asyncio.TimerHandle:
+        """The loop counts in milliseconds and may ring early: the module's timer would then be lost."""
+
+        def rang() -> None:
+            if time.monotonic_ns() >= due_ns:
+                ring()
+            else:
+                self.ring_at(due_ns, ring)
+
+        left_ns = max(0, due_ns - time.monotonic_ns())
+        return self.loop.call_later(left_ns / 1e9 + 0.0005, rang)
+
+    # Calls
+
+    def set_up(self, call: str, exchange: str, abandon_at_ns: int, now: int) -> None:
+        record, pool = self.calls.get(call), self.pools.get(exchange)
+        if record is None or record.pool is not None:
+            return
+        record.attempts, record.sent_ns = record.attempts + 1, now
+        record.abandon_at_ns = min(abandon_at_ns or record.deadline_ns, record.deadline_ns)
+        if pool is None:
+            self.tell(it.AttemptEnded(call, record.attempts - 1, exchange, it.Ending.NOT_SENT))
+            return
+        record.pool = pool
+        offer = record.offer
+        if record.abandon_at_ns < record.deadline_ns:
+            self.watch(call, record)
+        pool.set_up(
+            SetUpOrder(call, offer.class_name, offer.number_called, offer.description, record.abandon_at_ns)
+        )
+
+    def watch(self, call: str, record: CallRecord) -> None:
+        """One timer a call: for the attempt that is out, else for the caller's patience."""
+        if record.timer is not None:
+            record.timer.cancel()
+        due_ns = record.abandon_at_ns if record.pool is not None else record.deadline_ns
+        left_ns = max(0, due_ns - time.monotonic_ns())
+        record.timer = self.loop.call_later(left_ns / 1e9, self.expired, call, record)
+
+    def expired(self, call: str, record: CallRecord) -> None:
+        now = time.monotonic_ns()
+        if self.calls.get(call) is not record or record.stood_ns:
+            return
+        if record.pool is not None and now >= record.abandon_at_ns:
+            self.abandon(call, record, it.Ending.NO_ANSWER)
+        if now >= record.deadline_ns + OVERDUE_NS:
+            # Guards the one final answer: the module has by now answered each call that it knows.
+            log.error("call without an answer at its end", call=call)
+            self.end(call)
+            record.line.fail(call)
+            self.tell(it.CallerLeft(call))
+        elif now >= record.deadline_ns:
+            record.timer = self.loop.call_later(OVERDUE_NS / 1e9, self.expired, call, record)
+        else:
+            self.watch(call, record)
+
+    def abandon(self, call: str, record: CallRecord, ending: it.Ending) -> None:
+        """Give the attempt that is out up; what had not left was never sent."""
+        if record.pool is not None and not record.stood_ns:
+            left = record.pool.give_up(call)
+            self.attempt_ended(call, ending if left else it.Ending.NOT_SENT)
+
+    def end(self, call: str) -> CallRecord | None:
+        """Forget a call, whatever its state; its record, if there was one."""
+        record = self.calls.pop(call, None)
+        if record is None:
+            return None
+        self.ended.add(call)
+        if record.timer is not None:
+            record.timer.cancel()
+        record.line.open_calls.discard(call)
+        if not record.stood_ns:
+            self.open_calls -= 1
+            self.described -= len(record.offer.description)
+        elif record.pool is not None:
+            self.stood_at.get(record.pool.exchange, set()).discard(call)
+        return record
+
+    # From callers
+
+    def caller_connected(self, line: CallerLine) -> None:
+        if len(self.lines) >= int(self.config.descriptors * LINES_SHARE):
+            log.warning("too many connections from callers, one closed", open=len(self.lines))
+            line.abort()
+            return
+        self.lines[line] = None
+        kept, self.kept_for_callers = self.kept_for_callers, {}
+        for call, cause in kept.items():
+            self.release_to_caller(call, cause, line)
+
+    def caller_lost(self, line: CallerLine) -> None:
+        self.lines.pop(line, None)
+        for call in sorted(line.open_calls):
+            self.caller_ended(call, Clear.NORMAL)
+
+    def offered(self, line: CallerLine, offer: Offer) -> bool:
+        call = offer.call
+        if call in self.calls:
+            return False
+        full = len(self.calls) >= self.config.open_limit or self.described > DESCRIPTIONS_LIMIT
+        if full or offer.class_name not in self.class_names:
+            # Guards the tables and the module: it would take a class that it does not know for its first.
+            line.refuse(call, self.config.settings.longest_advice_ns)
+            return True
+        now = time.monotonic_ns()
+        record = self.calls[call] = CallRecord(line, offer, now + offer.patience_ms * MS)
+        line.open_calls.add(call)
+        self.open_calls += 1
+        self.described += len(offer.description)
+        self.watch(call, record)
+        self.tell(
+            it.CallOffered(
+                call=call,
+                class_name=offer.class_name,
+                destination=offer.destination,
+                patience_ns=offer.patience_ms * MS,
+                number_called=offer.number_called,
+                width=offer.width,
+                from_or_advised=offer.via,
+                redial=offer.redial,
+                transit=offer.transit,
+                was_cut=offer.was_cut,
+            )
+        )
+        return True
+
+    def caller_ended(self, call: str, cause: int) -> None:
+        """A give-up before the answer, a release after it, or a release of what stood before our start."""
+        record = self.calls.get(call)
+        if record is None:
+            if call not in self.ended:
+                self.ended.add(call)
+                self.release_to_any_exchange(call, cause)
+            return
+        pool, attempt = record.pool, record.attempts - 1
+        if pool is not None and record.stood_ns:
+            pool.release(call, cause)
+        else:
+            self.tell(it.CallerLeft(call))
+            if pool is not None:
+                pool.give_up(call)
+        self.end(call)
+        if pool is not None:
+            self.tell(self.outcome(call, record, attempt, it.Ending.CALLED_OFF, over=True))
+
+    def release_to_any_exchange(self, call: str, cause: int) -> None:
+        pool = next((pool for pool in self.pools.values() if pool.is_open), None)
+        if pool is not None:
+            pool.release(call, cause)
+        elif len(self.kept_for_exchanges) < KEPT_LIMIT:
+            self.kept_for_exchanges[call] = cause
+
+    def release_to_caller(self, call: str, cause: int, line: CallerLine | None) -> None:
+        """On the line that asked while it is open, else on any; kept until there is one."""
+        if line is not None and line.is_open and line.release(call, cause):
+            return
+        for other in self.lines:
+            if other.is_open and other.release(call, cause):
+                return
+        if len(self.kept_for_callers) < KEPT_LIMIT:
+            self.kept_for_callers[call] = cause
+
+    # From exchanges
+
+    def outcome(
+        self, call: str, record: CallRecord, attempt: int, ending: it.Ending, over: bool = False
+    ) -> it.AttemptEnded:
+        exchange = record.pool.exchange if record.pool is not None else ""
+        delay_ns = time.monotonic_ns() - record.sent_ns
+        return it.AttemptEnded(call, attempt, exchange, ending, delay_ns, over)
+
+    def attempt_ended(
+        self,
+        call: str,
+        ending: it.Ending,
+        cause: it.Cause = it.Cause.UNSAID,
+        wait_ns: int = 0,
+        report: it.Report | None = None,
+    ) -> None:
+        record = self.calls.get(call)
+        if record is None or record.pool is None or record.stood_ns:
+            return
+        outcome = self.outcome(call, record, record.attempts - 1, ending)
+        record.pool = None
+        self.tell(replace(outcome, cause=cause, told_wait_ns=wait_ns, report=report))
+
+    def stood(self, pool: ExchangePool, call: str, description: bytes) -> None:
+        record = self.calls.get(call)
+        if record is None or record.pool is not pool or record.stood_ns:
+            return
+        now = time.monotonic_ns()
+        record.line.answer(call, description)
+        record.stood_ns = now
+        record.line.open_calls.discard(call)
+        self.open_calls -= 1
+        self.described -= len(record.offer.description)
+        record.offer = replace(record.offer, description=b"")
+        if record.timer is not None:
+            record.timer.cancel()
+        self.stood_at.setdefault(pool.exchange, set()).add(call)
+        self.tell(it.CallStood(call, record.attempts - 1, pool.exchange, now - record.sent_ns))
+
+    def exchange_ended(self, pool: ExchangePool, call: str, cause: int, report: it.Report | None) -> None:
+        """The release of a call that stands, also of one that stood before our start."""
+        record = self.calls.get(call)
+        if record is None:
+            if call not in self.ended:
+                self.ended.add(call)
+                self.release_to_caller(call, cause, None)
+        elif record.stood_ns and record.pool is pool:
+            ending = it.Ending.COMPLETED if cause == Clear.NORMAL else it.Ending.CUT
+            outcome = self.outcome(call, record, record.attempts - 1, ending, over=True)
+            self.end(call)
+            self.release_to_caller(call, cause, record.line)
+            self.tell(replace(outcome, report=report))
+
+    def group_state(self, exchange: str, report: it.Report | None) -> None:
+        self.tell(it.ProbeAnswer(exchange, it.Ending.COMPLETED, 0, report))
+
+    def exchange_connected(self, pool: ExchangePool) -> None:
+        kept, self.kept_for_exchanges = self.kept_for_exchanges, {}
+        for call, cause in kept.items():
+            pool.release(call, cause)
+
+    def exchange_died(self, pool: ExchangePool) -> None:
+        log.warning("exchange died", exchange=pool.exchange)
+        self.cut_standing(pool, time.monotonic_ns())
+
+    def cut_standing(self, pool: ExchangePool, before_ns: int) -> None:
+        """A process that is gone has cut its calls and may have told nobody: their callers are."""
+        for call in sorted(self.stood_at.get(pool.exchange, ())):
+            if self.calls[call].stood_ns < before_ns:
+                self.exchange_ended(pool, call, Clear.TEMPORARY_FAILURE, None)
+
+    # From the change log
+
+    def news(self, news: News, remembered: bool = False) -> None:
+        if news.entries is None:
+            return
+        kind = it.ListKind.COMPLETE if news.complete else it.ListKind.CHANGES
+        if remembered:
+            kind = it.ListKind.REMEMBERED
+        if kind is not it.ListKind.CHANGES:
+            listed = {entry.listed.exchange for entry in news.entries}
+            for exchange in [exchange for exchange in self.pools if exchange not in listed]:
+                self.gone(exchange)
+        for entry in news.entries:
+            exchange, address = entry.listed.exchange, entry.address
+            if entry.listed.listing is it.Listing.GONE or address is None:
+                self.gone(exchange)
+                continue
+            for other in [pool for pool in self.pools.values() if pool.address == address]:
+                if other.exchange != exchange:  # the address is another's now, so that one is gone
+                    self.gone(other.exchange)
+            pool = self.pools.get(exchange)
+            if pool is not None and pool.address != address:
+                self.gone(exchange)
+                pool = None
+            if pool is None:
+                names, dial_ns = self.config.report_names, self.config.dial_ns
+                pool = self.pools[exchange] = ExchangePool(exchange, address, self, names, dial_ns)
+            elif entry.listed.started_ns > self.started.get(exchange, 0):
+                self.cut_standing(pool, entry.listed.started_ns)
+            self.started[exchange] = entry.listed.started_ns
+            pool.set_serving(entry.listed.listing is it.Listing.SERVING)
+            pool.dial()
+        self.tell(it.ExchangeList(kind, tuple(entry.listed for entry in news.entries)))
+
+    def gone(self, exchange: str) -> None:
+        pool = self.pools.pop(exchange, None)
+        self.started.pop(exchange, None)
+        if pool is not None:
+            pool.close()
+            self.cut_standing(pool, time.monotonic_ns() + 1)
+            self.stood_at.pop(exchange, None)
--- /dev/null
+++ b/arrowkeel/net/exchanges.py
@@ -0,0 +1,280 @@
+"""Connections to exchanges: a bounded pool each, set-ups out, their ends and group states back."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import Protocol
+
+import structlog
+
+from arrowkeel import interface as it
+from arrowkeel import wire
+from arrowkeel.net.codec import Clear, Code, Kind, MalformedMessageError, Message, encode
+from arrowkeel.net.config import MS, Address
+from arrowkeel.net.line import Line
+
+QUEUE_LIMIT = 512  # set-ups that wait for a connection which is coming up
+KEPT_LIMIT = 4096  # releases that wait for one
+REDIAL_FIRST_NS, REDIAL_MOST_NS = 50 * MS, 1000 * MS  # between dials to an exchange that takes none
+DEAD_AFTER_NS = 2000 * MS  # reset and then refused for so long: its process is gone, and its calls with it
+ENDINGS: dict[int, it.Ending] = {
+    Clear.NO_CIRCUIT: it.Ending.TURNED_AWAY,
+    Clear.NEVER_LEFT: it.Ending.NOT_SENT,
+    Clear.TEMPORARY_FAILURE: it.Ending.CUT,
+    Clear.USER_BUSY: it.Ending.NUMBER_BUSY,
+    Clear.UNAVAILABLE: it.Ending.NUMBER_BUSY,
+}
+# The codes that the simulator's wire has for these notes, so that `wire` alone says what they mean.
+NOTES = {"group_full": 1, "tandem_refused": 2, "processor_full": 3, "user_busy": 4, "destination_full": 18}
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class SetUpOrder:
+    """A set-up to pass on: what the caller sent, and when it is abandoned at the latest."""
+
+    call: str
+    class_name: str
+    number_called: str
+    description: bytes
+    abandon_at_ns: int
+
+
+class ExchangeDesk(Protocol):
+    """What the controller does for connections to exchanges, whatever protocol they speak."""
+
+    def stood(self, pool: ExchangePool, call: str, description: bytes) -> None: ...
+    def attempt_ended(
+        self,
+        call: str,
+        ending: it.Ending,
+        cause: it.Cause = it.Cause.UNSAID,
+        wait_ns: int = 0,
+        report: it.Report | None = None,
+    ) -> None: ...
+    def exchange_ended(self, pool: ExchangePool, call: str, cause: int, report: it.Report | None) -> None: ...
+    def group_state(self, exchange: str, report: it.Report | None) -> None: ...
+    def exchange_connected(self, pool: ExchangePool) -> None: ...
+    def exchange_died(self, pool: ExchangePool) -> None: ...
+
+
+class ExchangeLine(Line):
+    """One connection to an exchange."""
+
+    def __init__(self, pool: ExchangePool) -> None:
+        super().__init__(f"exchange {pool.exchange}")
+        self.pool = pool
+        self.set_ups: set[str] = set()  # sent here and not yet answered
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.lost(self, exc)
+
+    def take(self, message: Message) -> None:
+        pool, call = self.pool, message.call
+        match message.kind:
+            case Kind.ANSWER:
+                # An answer that crossed our give-up is of no call any more: the give-up releases it there.
+                if call in self.set_ups:
+                    description = message.parameters.get(Code.DESCRIPTION)
+                    if description is None:
+                        raise MalformedMessageError(f"parameter {Code.DESCRIPTION.value}: missing")
+                    self.set_ups.discard(call)
+                    pool.desk.stood(pool, call, description)
+            case Kind.RELEASE:
+                cause, report = message.cause(), self.report(message)
+                note = NOTES.get(message.text(Code.NOTE, ""), 0)
+                if call in self.set_ups:
+                    self.set_ups.discard(call)
+                    ending = ENDINGS.get(cause, it.Ending.NUMBER_BUSY)
+                    pool.desk.attempt_ended(call, ending, *wire.read_cause(note), report)
+                else:
+                    pool.desk.exchange_ended(pool, call, cause, report)
+            case Kind.GROUP_STATE:
+                pool.desk.group_state(pool.exchange, self.report(message))
+            case Kind.PROGRESS | Kind.RELEASE_HEARD | Kind.TEST_RESULT:
+                pass
+            case _:
+                raise MalformedMessageError(f"type {message.kind} is nothing an exchange sends")
+
+    def report(self, message: Message) -> it.Report | None:
+        figures = message.figures(Code.REPORT)
+        if not figures:
+            return None
+        names = self.pool.report_names
+        row = ",".join(figures.get(name, "-1") for name in names)
+        try:
+            return wire.read_report({"load": row}, names)
+        except (wire.MalformedError, ValueError) as error:
+            raise MalformedMessageError(f"parameter {Code.REPORT.value}: {error}") from None
+
+
+class ExchangePool:
+    """The connections to one exchange, keyed by its id: an address may come to belong to another.
+
+    One connection carries every call, and reports the group's state; its number is bounded by one that is
+    open and one that is coming up.
+    """
+
+    def __init__(
+        self, exchange: str, address: Address, desk: ExchangeDesk, report_names: tuple[str, ...], dial_ns: int
+    ) -> None:
+        self.exchange, self.address, self.desk = exchange, address, desk
+        self.report_names, self.dial_ns = report_names, dial_ns
+        self.serving = True
+        self.closed = False
+        self.line: ExchangeLine | None = None
+        self.dialling: asyncio.Task[None] | None = None
+        self.redial: asyncio.TimerHandle | None = None
+        self.redial_gap_ns = REDIAL_FIRST_NS
+        self.connected_at_ns = 0
+        self.reset_at_ns = 0  # when a connection was reset, until the next one is open
+        self.queue: dict[str, SetUpOrder] = {}
+        self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
+
+    @property
+    def is_open(self) -> bool:
+        return self.line is not None and self.line.is_open
+
+    def dial(self) -> None:
+        if self.closed or self.is_open or self.dialling is not None:
+            return
+        if self.redial is not None:
+            self.redial.cancel()
+            self.redial = None
+        self.dialling = asyncio.get_running_loop().create_task(
+            self.connect(time.monotonic_ns() + self.dial_ns)
+        )
+
+    async def connect(self, until_ns: int) -> None:
+        loop, failure = asyncio.get_running_loop(), ""
+        line = ExchangeLine(self)
+        try:
+            async with asyncio.timeout_at(loop.time() + (until_ns - time.monotonic_ns()) / 1e9):
+                await loop.create_connection(lambda: line, self.address.host, self.address.port)
+        except TimeoutError:
+            failure = "timed out"
+        except OSError as error:
+            failure = "refused" if isinstance(error, ConnectionRefusedError) else "failed"
+        except asyncio.CancelledError:
+            line.abort()
+            raise
+        finally:
+            self.dialling = None
+        if self.closed:
+            line.abort()
+        elif not failure and line.is_open:
+            self.connected(line)
+        else:
+            self.not_connected(failure)
+
+    def connected(self, line: ExchangeLine) -> None:
+        self.line, self.reset_at_ns, self.connected_at_ns = line, 0, time.monotonic_ns()
+        kept, self.kept = self.kept, {}
+        for call, cause in kept.items():
+            self.release(call, cause)
+        self.flush_queue()
+        self.desk.exchange_connected(self)
+
+    def not_connected(self, failure: str) -> None:
+        """What waited for this connection never ran; the next dial waits a while."""
+        queue, self.queue = self.queue, {}
+        for call in queue:
+            self.desk.attempt_ended(call, it.Ending.NO_CONNECTION)
+        if self.reset_at_ns and time.monotonic_ns() - self.reset_at_ns > DEAD_AFTER_NS:
+            if failure == "refused":
+                self.desk.exchange_died(self)
+            self.reset_at_ns = 0
+        self.dial_later()
+
+    def dial_later(self) -> None:
+        if not self.closed and self.redial is None:
+            gap, self.redial_gap_ns = self.redial_gap_ns, min(2 * self.redial_gap_ns, REDIAL_MOST_NS)
+            self.redial = asyncio.get_running_loop().call_later(gap / 1e9, self.dial)
+
+    def lost(self, line: ExchangeLine, exc: Exception | None) -> None:
+        """The set-ups open on a connection end with it, and may have run; the next one is dialled at once."""
+        for call in sorted(line.set_ups):
+            self.desk.attempt_ended(call, it.Ending.CUT)
+        line.set_ups.clear()
+        if line is self.line:
+            self.line = None
+            now = time.monotonic_ns()
+            if exc is not None:
+                self.reset_at_ns = now
+            if now - self.connected_at_ns > REDIAL_MOST_NS:
+                self.redial_gap_ns = REDIAL_FIRST_NS
+                self.dial()
+            else:  # one that takes connections only to drop them is not dialled without pause
+                self.dial_later()
+
+    def set_up(self, order: SetUpOrder) -> None:
+        if self.closed or not self.serving:
+            self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
+        elif self.is_open:
+            self.send(order)
+        elif len(self.queue) >= QUEUE_LIMIT:
+            self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
+        else:
+            self.queue[order.call] = order
+            self.dial()
+
+    def send(self, order: SetUpOrder) -> None:
+        # Guards against a set-up that waited here and leaves after its caller's time.
+        left_ms = (order.abandon_at_ns - time.monotonic_ns()) // MS
+        if left_ms <= 0 or self.line is None:
+            self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
+            return
+        self.line.set_ups.add(order.call)
+        parameters: dict[int, bytes | str] = {
+            Code.CLASS: order.class_name,
+            Code.PATIENCE: str(left_ms),
+            Code.NUMBER: order.number_called,
+            Code.DESCRIPTION: order.description,
+        }
+        self.line.write(encode(Kind.SET_UP, order.call, parameters))
+
+    def flush_queue(self) -> None:
+        queue, self.queue = self.queue, {}
+        for order in queue.values():
+            self.set_up(order)
+
+    def give_up(self, call: str) -> bool:
+        """Give a set-up up; whether it had left, so that it may have run."""
+        if self.queue.pop(call, None) is not None:
+            return False
+        if self.line is not None and call in self.line.set_ups:
+            self.line.set_ups.discard(call)
+            self.release(call, Clear.NORMAL)
+        return True
+
+    def release(self, call: str, cause: int) -> None:
+        """Release a call there; kept until a connection exists."""
+        message = encode(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,))})
+        if (self.line is None or not self.line.write(message)) and len(self.kept) < KEPT_LIMIT:
+            self.kept[call] = cause
+            self.dial()
+
+    def set_serving(self, serving: bool) -> None:
+        self.serving = serving
+        if not serving:
+            # Guards the drain rule: what waits for a connection must not leave once we have been told.
+            self.flush_queue()
+
+    def close(self) -> None:
+        """The exchange is gone: its set-ups end, and nothing more is dialled."""
+        self.shut()
+        self.flush_queue()
+        if self.line is not None:
+            self.line.abort()
+
+    def shut(self) -> None:
+        """The end of the program: what has been written still leaves."""
+        self.closed = True
+        if self.redial is not None:
+            self.redial.cancel()
+        if self.dialling is not None:
+            self.dialling.cancel()
+        if self.line is not None:
+            self.line.close()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.conftest import MS, SETTINGS, Desk, S, answers, sent
 from arrowkeel import interface as it
+from tests.conftest import MS, SETTINGS, Desk, S, answers, sent
 
 
 def test_a_full_processor_is_left_alone_for_the_validity_time() -> None:
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -5,9 +5,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.conftest import MS, SETTINGS, S, listed
 from arrowkeel import Policy
 from arrowkeel import interface as it
+from tests.conftest import MS, SETTINGS, S, listed
 
 STEPS = st.lists(
     st.tuples(st.sampled_from(["offer", "stand", "end", "list", "free", "wait"]), st.integers(0, 10**6)),
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.conftest import MS, SETTINGS, Desk, S, answers, listed, sent
 from arrowkeel import interface as it
+from tests.conftest import MS, SETTINGS, Desk, S, answers, listed, sent
 
 ENDED_UNSURE = [it.Ending.NO_ANSWER, it.Ending.CUT, it.Ending.CALLED_OFF]
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from tests.conftest import MS, SETTINGS, Desk, S, answers, listed, sent
 from arrowkeel import Policy
 from arrowkeel import interface as it
+from tests.conftest import MS, SETTINGS, Desk, S, answers, listed, sent
 
 AGENTS = 60
 CROWDED = replace(SETTINGS, agents=AGENTS)
