--- a/arrowkeel/__main__.py
+++ b/arrowkeel/__main__.py
@@ -35,7 +35,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, controller.stop)
     await controller.start()
-    log.info("started", name=config.name, listen=f"{config.listen.host}:{config.listen.port}")
+    log.info("started", name=config.name, listen=controller.listening)
     await controller.finished
     await controller.finish()
     log.info("stopped")
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -83,9 +83,10 @@
     clock: Clock
 
 
-def read_address(value: object, where: str) -> Address:
+def read_address(value: object, where: str, least_port: int = 1) -> Address:
     host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not colon or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    numeric = port.isascii() and port.isdigit() and len(port) <= 5
+    if not host or not colon or not numeric or not least_port <= int(port) < 65536:
         raise ConfigError(f"{where}: {value!r} is no host:port")
     return Address(host, int(port))
 
@@ -160,7 +161,7 @@
     allowed = field_of(settings, "permissions", dict, "settings.")
     return Config(
         name=field_of(raw, "name", str),
-        listen=read_address(raw.get("listen"), "listen"),
+        listen=read_address(raw.get("listen"), "listen", least_port=0),
         seed=seed,
         descriptors=descriptors,
         changelog=read_address(raw.get("changelog"), "changelog"),
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -78,6 +78,11 @@
         )
         self.changelog.start()
 
+    @property
+    def listening(self) -> str:
+        host, port = self.server.sockets[0].getsockname()[:2] if self.server is not None else ("", 0)
+        return f"{host}:{port}"
+
     def stop(self) -> None:
         """Calls go on being taken for a while; the end comes once every open call has its answer."""
         if not self.stop_at_ns:
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,198 @@
+"""Scripted peers on loopback sockets round the program: they wait on what comes, never on the clock."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+from arrowkeel.net.codec import Code, Decoder, Kind, Message, encode
+
+PATIENCE_S = 20.0  # only a failing test waits so long
+CALL, OTHER = "00000000000000a1", "00000000000000b2"
+STATE = {Code.REPORT: "idle:40;circuits:60;max_rate:-1"}
+SETTINGS: dict[str, Any] = {
+    "classes": [
+        {"name": "voice", "onTimeNs": 1_500_000_000, "deadlineNs": 9_000_000_000, "stream": True},
+    ],
+    "familyInfo": {"ownNumber": 0, "layout": "network", "guardNs": 200_000_000},
+    "groupSize": 2,
+    "permissions": {
+        "tryLimit": 4,
+        "maxOpen": 100,
+        "dialTimeoutNs": 500_000_000,
+        "retryAfter": True,
+        "maxRetryAfterNs": 2_000_000_000,
+    },
+    "report": {"how": "answers", "names": ["idle", "circuits", "max_rate"]},
+}
+
+
+class Peer:
+    """One end of a connection that speaks in messages."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self.socket = connection
+        self.socket.settimeout(PATIENCE_S)
+        self.decoder = Decoder()
+        self.messages: list[Message] = []
+
+    def send(self, kind: int, call: str = CALL, parameters: dict[Any, Any] | None = None) -> None:
+        self.socket.sendall(encode(kind, call, parameters))
+
+    def release(self, call: str, cause: int, **parameters: str) -> None:
+        extra = {Code[name.upper()]: value for name, value in parameters.items()}
+        self.send(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,)), **extra})
+
+    def set_up(self, call: str = CALL, dest: int = 1, patience_ms: int = 3000, kind: str = "voice") -> None:
+        self.send(
+            Kind.SET_UP,
+            call,
+            {
+                Code.CLASS: kind,
+                Code.PATIENCE: str(patience_ms),
+                Code.NUMBER: "7f3a9c21e0b4d655",
+                Code.FIGURES: f"dest:{dest};width:1;via:-1",
+                Code.DESCRIPTION: b"offer \x00\xff",
+            },
+        )
+
+    def receive(self) -> Message | None:
+        """The next message, or None once the other side has closed."""
+        while not self.messages:
+            try:
+                data = self.socket.recv(65536)
+            except ConnectionResetError:
+                return None
+            if not data:
+                return None
+            self.messages += self.decoder.feed(data)
+        return self.messages.pop(0)
+
+    def expect(self, kind: int, call: str = CALL) -> Message:
+        message = self.receive()
+        assert message is not None and (message.kind, message.call) == (kind, call), message
+        return message
+
+    def tested(self) -> None:
+        """All that was sent before on this connection has been taken once this returns."""
+        self.send(Kind.TEST, OTHER, {Code.CAUSE: b"\x00"})
+        self.expect(Kind.TEST_RESULT, OTHER)
+
+    def reset(self) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+
+
+class Listener:
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0))
+        self.socket.settimeout(PATIENCE_S)
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+
+    def accept(self) -> socket.socket:
+        return self.socket.accept()[0]
+
+    def exchange(self) -> Peer:
+        """The next connection to this exchange, told the state of its group first as each is."""
+        peer = Peer(self.accept())
+        peer.send(Kind.GROUP_STATE, "0" * 16, STATE)
+        return peer
+
+
+def instance(identity: str, cell: int, address: str, lifecycle: str = "up") -> dict[str, Any]:
+    return {
+        "instanceId": identity,
+        "hostPort": address,
+        "zone": "east",
+        "machineType": "std",
+        "cell": cell,
+        "lifecycle": lifecycle,
+        "weight": 1,
+        "startedAtMs": 0,
+    }
+
+
+def event(seq: int, *instances: dict[str, Any], reset: bool = False) -> dict[str, Any]:
+    return {"seq": seq, "fleet": {"generation": seq, "reset": reset, "instances": list(instances)}}
+
+
+class Program:
+    """The program as it is started in service, between one exchange, a change log and callers."""
+
+    def __init__(self, folder: Path) -> None:
+        self.changelog, self.far = Listener(), Listener()
+        self.config: dict[str, Any] = {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "changelog": self.changelog.address,
+            "known": {"seq": 1, "results": [event(1, instance("far", 1, self.far.address), reset=True)]},
+            "settings": SETTINGS,
+        }
+        self.path = folder / "config.json"
+
+    def launch(self) -> subprocess.Popen[str]:
+        self.path.write_text(json.dumps(self.config))
+        return subprocess.Popen(
+            [sys.executable, "-u", "-m", "arrowkeel"],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+            env={**os.environ, "LB_CONFIG": str(self.path)},
+        )
+
+    def start(self) -> None:
+        self.process = self.launch()
+        started = self.logged("started")
+        host, _, port = started.partition("listen='")[2].rstrip("'\n").rpartition(":")
+        self.listen = (host, int(port))
+        self.news = Peer(self.changelog.accept())
+        assert self.news.socket.recv(100) == b"since 1\n"
+        self.exchange = self.far.exchange()
+
+    def logged(self, text: str) -> str:
+        """The next line of the log that has this text."""
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            if text in line:
+                return line
+        raise AssertionError(f"the program ended without logging {text!r}")
+
+    def caller(self) -> Peer:
+        return Peer(socket.create_connection(self.listen, PATIENCE_S))
+
+    def tell(self, *lines: dict[str, Any]) -> None:
+        self.news.socket.sendall(b"".join(json.dumps(line).encode() + b"\n" for line in lines))
+
+    def standing(self, caller: Peer, call: str = CALL) -> None:
+        """A call offered by that caller and answered by the exchange."""
+        caller.set_up(call)
+        self.exchange.expect(Kind.SET_UP, call)
+        self.exchange.send(Kind.ANSWER, call, {Code.DESCRIPTION: b"answer \x01"})
+        assert caller.expect(Kind.ANSWER, call).parameters == {Code.DESCRIPTION: b"answer \x01"}
+
+
+@contextmanager
+def running(folder: Path, **changes: Any) -> Iterator[Program]:
+    program = Program(folder)
+    program.config.update(changes)
+    try:
+        program.start()
+        yield program
+    finally:
+        if program.process.poll() is None:
+            program.process.send_signal(signal.SIGKILL)
+        program.process.wait(PATIENCE_S)
+        if program.process.stdout is not None:
+            program.process.stdout.close()
+
