Guard calls on closing lines, dying exchanges and set-ups that wait; test the pool

Tests: the pool by itself against scripted exchanges, each guard seen to fail its test when taken out (time passed while waiting, draining while waiting, a release told twice).

--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -47,12 +47,15 @@
             return default
         return whole_number(figures.get(name, ""), f"parameter {Code.FIGURES.value}: {name}")
 
+    width = figure("width", 1)
+    if width < 1:
+        raise MalformedMessageError(f"parameter {Code.FIGURES.value}: width: {width} circuits")
     return Offer(
         call=message.call,
         class_name=message.text(Code.CLASS),
         number_called=message.text(Code.NUMBER),
         destination=figure("dest"),
-        width=figure("width", 1),
+        width=width,
         via=figure("via", -1),
         patience_ms=min(max(0, message.whole(Code.PATIENCE)), MOST_PATIENCE_MS),
         redial=message.text(Code.REDIAL, "0") == "1",
@@ -91,8 +94,8 @@
             case _:
                 raise MalformedMessageError(f"type {message.kind} is nothing a caller sends")
 
-    def answer(self, call: str, description: bytes) -> None:
-        self.write(encode(Kind.ANSWER, call, {Code.DESCRIPTION: description}))
+    def answer(self, call: str, description: bytes) -> bool:
+        return self.write(encode(Kind.ANSWER, call, {Code.DESCRIPTION: description}))
 
     def refuse(self, call: str, redial_after_ns: int) -> None:
         parameters: dict[int, bytes | str] = {Code.CAUSE: bytes((Clear.CONGESTION,))}
--- a/arrowkeel/net/changelog.py
+++ b/arrowkeel/net/changelog.py
@@ -14,7 +14,7 @@
 
 SILENCE_NS = 3000 * MS  # a line comes each second; after so long without one the connection is dead
 DIAL_NS = 1000 * MS
-AGAIN_FIRST_NS, AGAIN_MOST_NS = 50 * MS, 1000 * MS  # between attempts that bring nothing
+AGAIN_FIRST_NS, AGAIN_MOST_NS = 50 * MS, 1000 * MS  # between attempts that soon end
 LINE_LIMIT = 4 << 20
 log = structlog.get_logger()
 
@@ -52,7 +52,10 @@
             except OSError as error:  # a time-out is one too
                 log.warning("change log not reached", reason=str(error) or type(error).__name__)
             else:
+                began_ns = time.monotonic_ns()
                 await self.watch()
+                if time.monotonic_ns() - began_ns > AGAIN_MOST_NS:
+                    self.again_ns = AGAIN_FIRST_NS
             await asyncio.sleep(self.again_ns / 1e9)
             self.again_ns = min(2 * self.again_ns, AGAIN_MOST_NS)
 
@@ -113,8 +116,6 @@
         if ahead > 0 and not self.first_line:
             raise MalformedNewsError(f"seq: {news.seq} after {self.last}")
         self.first_line = False
-        if is_event:
-            self.again_ns = AGAIN_FIRST_NS
         if is_event and news.seq > self.last:  # else a duplicate
             self.last = news.seq
             self.tell(news)
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -344,7 +344,11 @@
         if record is None or record.pool is not pool or record.stood_ns:
             return
         now = time.monotonic_ns()
-        record.line.answer(call, description)
+        if not record.line.answer(call, description):
+            # Guards against a call that stands for nobody: its line is closing and has not told us yet.
+            pool.release(call, Clear.NORMAL)
+            self.caller_ended(call, Clear.NORMAL)
+            return
         record.stood_ns = now
         record.line.open_calls.discard(call)
         self.open_calls -= 1
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -182,10 +182,11 @@
         queue, self.queue = self.queue, {}
         for call in queue:
             self.desk.attempt_ended(call, it.Ending.NO_CONNECTION)
-        if self.reset_at_ns and time.monotonic_ns() - self.reset_at_ns > DEAD_AFTER_NS:
-            if failure == "refused":
-                self.desk.exchange_died(self)
+        reset_for_ns = time.monotonic_ns() - self.reset_at_ns if self.reset_at_ns else 0
+        if failure == "refused" and reset_for_ns > DEAD_AFTER_NS:
+            # Guards against calls that nobody will release any more: their process has died.
             self.reset_at_ns = 0
+            self.desk.exchange_died(self)
         self.dial_later()
 
     def dial_later(self) -> None:
--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,145 @@
+"""What waits for a connection, and what becomes of a connection that dies: the pool alone, in its loop."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from arrowkeel import interface as it
+from arrowkeel.net import exchanges
+from arrowkeel.net.codec import Code, Kind
+from arrowkeel.net.config import Address
+from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from tests.peers import CALL, OTHER, Listener, Peer
+
+
+class Desk:
+    """Writes down what the pool tells."""
+
+    def __init__(self) -> None:
+        self.told: asyncio.Queue[tuple[Any, ...]] = asyncio.Queue()
+
+    def attempt_ended(self, call: str, ending: it.Ending, *_: Any) -> None:
+        self.told.put_nowait(("ended", call, ending))
+
+    def stood(self, pool: ExchangePool, call: str, description: bytes) -> None:
+        self.told.put_nowait(("stood", call))
+
+    def exchange_ended(self, pool: ExchangePool, call: str, cause: int, report: it.Report | None) -> None:
+        self.told.put_nowait(("released", call, cause))
+
+    def group_state(self, exchange: str, report: it.Report | None) -> None:
+        self.told.put_nowait(("state", report))
+
+    def exchange_connected(self, pool: ExchangePool) -> None:
+        self.told.put_nowait(("connected",))
+
+    def exchange_died(self, pool: ExchangePool) -> None:
+        self.told.put_nowait(("died",))
+
+
+def order(call: str, abandon_at_ns: int = 1 << 62) -> SetUpOrder:
+    return SetUpOrder(call, "voice", "77", b"x", abandon_at_ns)
+
+
+def play(address: str, story: Callable[[ExchangePool, Desk], Any]) -> None:
+    async def run() -> None:
+        host, _, port = address.rpartition(":")
+        desk = Desk()
+        pool = ExchangePool("x", Address(host, int(port)), desk, ("idle", "circuits"), 500_000_000)
+        try:
+            await asyncio.wait_for(story(pool, desk), 20)
+        finally:
+            pool.close()
+
+    asyncio.run(run())
+
+
+async def accepted(far: Listener) -> Peer:
+    return Peer(await asyncio.to_thread(far.accept))
+
+
+@pytest.mark.parametrize("told", ["draining", "late"])
+def test_a_set_up_that_waits_for_a_connection_does_not_leave_once_it_must_not(told: str) -> None:
+    far = Listener()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.set_up(order(CALL, 1 if told == "late" else 1 << 62))
+        assert desk.told.empty(), "it waits"
+        if told == "draining":
+            pool.set_serving(False)
+            assert desk.told.get_nowait() == ("ended", CALL, it.Ending.NOT_SENT)
+        peer = await accepted(far)
+        if told == "late":
+            assert await desk.told.get() == ("ended", CALL, it.Ending.NOT_SENT)
+        assert await desk.told.get() == ("connected",)
+        pool.release(OTHER, 16)
+        first = await asyncio.to_thread(peer.receive)
+        assert first is not None and (first.kind, first.call) == (Kind.RELEASE, OTHER)
+
+    play(far.address, story)
+
+
+def test_a_refused_connection_proves_that_nothing_ran() -> None:
+    free = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{free.getsockname()[1]}"
+    free.close()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.set_up(order(CALL))
+        assert await desk.told.get() == ("ended", CALL, it.Ending.NO_CONNECTION)
+
+    play(address, story)
+
+
+def test_a_process_that_was_reset_and_refuses_has_died(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(exchanges, "DEAD_AFTER_NS", 0)
+    far = Listener()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.dial()
+        peer = await accepted(far)
+        assert await desk.told.get() == ("connected",)
+        far.socket.close()
+        peer.reset()
+        assert await desk.told.get() == ("died",)
+
+    play(far.address, story)
+
+
+@pytest.mark.parametrize(
+    ("cause", "note", "wanted"),
+    [
+        (34, "tandem_refused", (it.Ending.TURNED_AWAY, it.Cause.TURNED_BACK)),
+        (34, "destination_full", (it.Ending.TURNED_AWAY, it.Cause.BEYOND_FULL)),
+        (34, "processor_full", (it.Ending.TURNED_AWAY, it.Cause.PROCESSOR_FULL)),
+        (102, "group_full", (it.Ending.NOT_SENT, it.Cause.NO_CIRCUIT)),
+        (17, "user_busy", (it.Ending.NUMBER_BUSY, it.Cause.LINES_BUSY)),
+        (47, "", (it.Ending.NUMBER_BUSY, it.Cause.UNSAID)),
+        (41, "", (it.Ending.CUT, it.Cause.UNSAID)),
+    ],
+)
+def test_each_refusal_means_what_the_adapter_would_tell(
+    cause: int, note: str, wanted: tuple[it.Ending, it.Cause]
+) -> None:
+    far, ended = Listener(), []
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        desk.attempt_ended = lambda *told: (ended.append(told), desk.told.put_nowait(("end",)))  # type: ignore
+        pool.set_up(order(CALL))
+        peer = await accepted(far)
+        await asyncio.to_thread(peer.expect, Kind.SET_UP)
+        peer.send(
+            Kind.RELEASE,
+            CALL,
+            {Code.CAUSE: bytes((cause,)), Code.NOTE: note, Code.REPORT: "idle:3;circuits:9"},
+        )
+        while await desk.told.get() != ("end",):
+            pass
+
+    play(far.address, story)
+    assert ended == [(CALL, wanted[0], wanted[1], 0, it.Report(3, 9))]
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -174,3 +174,16 @@
     process = program.launch()
     said, _ = process.communicate(timeout=20)
     assert process.returncode == 2 and said.count("\n") == 1 and named in said
+
+
+def test_no_call_stands_for_a_caller_that_has_left(program: Program) -> None:
+    """The answer and the end of the caller's connection may be read in the same pass of the loop."""
+    caller = program.caller()
+    caller.set_up()
+    program.exchange.expect(Kind.SET_UP)
+    program.process.send_signal(signal.SIGSTOP)
+    caller.reset()
+    program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"too late"})
+    program.process.send_signal(signal.SIGCONT)
+    assert program.exchange.expect(Kind.RELEASE).cause() == 16
+    program.standing(program.caller(), OTHER)
