Take an exchange for dead also after a clean close that is followed by refusals

Found by reading: exchanges.ExchangePool.lost noted only a reset. An exchange that stops with a clean close and sends no releases would leave its calls standing until the list tells of its end, up to ten seconds late here; eight are allowed. Refusals for two seconds after any loss now end its calls. Ruled out as a harm: idle closes, after which the next dial connects.

--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -18,7 +18,7 @@
 QUEUE_LIMIT = 512  # set-ups that wait for a connection which is coming up
 KEPT_LIMIT = 4096  # releases that wait for one
 REDIAL_FIRST_NS, REDIAL_MOST_NS = 50 * MS, 1000 * MS  # between dials to an exchange that takes none
-DEAD_AFTER_NS = 2000 * MS  # reset and then refused for so long: its process is gone, and its calls with it
+DEAD_AFTER_NS = 2000 * MS  # lost and then refused for so long: its process is gone, and its calls with it
 ENDINGS: dict[int, it.Ending] = {
     Clear.NO_CIRCUIT: it.Ending.TURNED_AWAY,
     Clear.NEVER_LEFT: it.Ending.NOT_SENT,
@@ -129,7 +129,7 @@
         self.redial: asyncio.TimerHandle | None = None
         self.redial_gap_ns = REDIAL_FIRST_NS
         self.connected_at_ns = 0
-        self.reset_at_ns = 0  # when a connection was reset, until the next one is open
+        self.lost_at_ns = 0  # when the connection was lost, until the next one is open
         self.queue: dict[str, SetUpOrder] = {}
         self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
 
@@ -170,7 +170,7 @@
             self.not_connected(failure)
 
     def connected(self, line: ExchangeLine) -> None:
-        self.line, self.reset_at_ns, self.connected_at_ns = line, 0, time.monotonic_ns()
+        self.line, self.lost_at_ns, self.connected_at_ns = line, 0, time.monotonic_ns()
         kept, self.kept = self.kept, {}
         for call, cause in kept.items():
             self.release(call, cause)
@@ -182,10 +182,10 @@
         queue, self.queue = self.queue, {}
         for call in queue:
             self.desk.attempt_ended(call, it.Ending.NO_CONNECTION)
-        reset_for_ns = time.monotonic_ns() - self.reset_at_ns if self.reset_at_ns else 0
-        if failure == "refused" and reset_for_ns > DEAD_AFTER_NS:
+        lost_for_ns = time.monotonic_ns() - self.lost_at_ns if self.lost_at_ns else 0
+        if failure == "refused" and lost_for_ns > DEAD_AFTER_NS:
             # Guards against calls that nobody will release any more: their process has died.
-            self.reset_at_ns = 0
+            self.lost_at_ns = 0
             self.desk.exchange_died(self)
         self.dial_later()
 
@@ -205,8 +205,7 @@
         if line is self.line:
             self.line = None
             now = time.monotonic_ns()
-            if exc is not None:
-                self.reset_at_ns = now
+            self.lost_at_ns = now
             if now - self.connected_at_ns > REDIAL_MOST_NS:
                 self.redial_gap_ns = REDIAL_FIRST_NS
                 self.dial()
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -96,7 +96,9 @@
     play(address, story)
 
 
-def test_a_process_that_was_reset_and_refuses_has_died(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("end", ["reset", "closed"])
+def test_a_process_that_is_lost_and_refuses_has_died(monkeypatch: pytest.MonkeyPatch, end: str) -> None:
+    """The list may tell of its end ten seconds late, and its calls are to be released within eight."""
     monkeypatch.setattr(exchanges, "DEAD_AFTER_NS", 0)
     far = Listener()
 
@@ -105,7 +107,7 @@
         peer = await accepted(far)
         assert await desk.told.get() == ("connected",)
         far.socket.close()
-        peer.reset()
+        peer.reset() if end == "reset" else peer.socket.close()
         assert await desk.told.get() == ("died",)
 
     play(far.address, story)
@@ -143,3 +145,22 @@
 
     play(far.address, story)
     assert ended == [(CALL, wanted[0], wanted[1], 0, it.Report(3, 9))]
+
+
+def test_a_peer_that_stops_reading_is_closed_before_it_fills_the_memory() -> None:
+    far = Listener()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.dial()
+        peer = await accepted(far)
+        assert await desk.told.get() == ("connected",)
+        line = pool.line
+        assert line is not None and line.transport is not None
+        most = sent = 0
+        while line.write(bytes(16384)):
+            most, sent = max(most, line.transport.get_write_buffer_size()), sent + 1
+            assert sent < 10_000, "nothing bounds what is held for it"
+        assert most <= 1 << 20 and not line.is_open
+        peer.socket.close()
+
+    play(far.address, story)
