--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,14 @@
 test:
 	bash .ci/run
 
-lint:
+lint: .venv-ci/bin/ruff
 	.venv-ci/bin/ruff check .
 	.venv-ci/bin/mypy
 
-run:
+.venv-ci/bin/ruff: pyproject.toml
+	python3 -m venv .venv-ci
+	.venv-ci/bin/pip -q install -e '.[dev]'
+	touch $@
+
+run: build
 	.venv/bin/python -m arrowkeel
