Read the configuration again on SIGHUP and move the change log to its new address

Nothing handled SIGHUP (__main__.serve), so its default action ended the program. ChangeLog was also one protocol object for every connection it made, told apart only by is_closing(): what came on an old connection could have been taken for the new one's.

Now the file is read again, whole; a bad one is logged and changes nothing. The change log moves at once with since the last number, each connection is an object of its own, and a silent one is left after 2.2 s (was 3 s) and dialled for 0.5 s (was 1 s), inside the 4 s that a stop is given. Events in the new file's known that are not known yet are learned.

Checked: the story fails with the handler taken out (the program ends).

--- a/arrowkeel/__main__.py
+++ b/arrowkeel/__main__.py
@@ -1,4 +1,4 @@
-"""The real call controller's process: reads the configuration, runs the loop, stops in order on SIGTERM."""
+"""The real program: its configuration, read again on SIGHUP, its loop, and its orderly end on SIGTERM."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from arrowkeel.policy import Policy
 
 
-def load() -> Config:
+def load(clock: Clock) -> Config:
     path = os.environ.get("LB_CONFIG", "")
     if not path:
         raise ConfigError("LB_CONFIG: not set")
@@ -25,7 +25,17 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
-    return read_config(text, Clock.now())
+    return read_config(text, clock)
+
+
+def reload(controller: Controller) -> None:
+    """Guards the calls that are open: a file that cannot be used, or the signal itself, must not end them."""
+    try:
+        config = load(controller.config.clock)
+    except ConfigError as error:
+        structlog.get_logger().error("configuration not taken, the old one stays", reason=str(error))
+    else:
+        controller.reload(config)
 
 
 async def serve(config: Config) -> None:
@@ -34,6 +44,7 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, controller.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload, controller)
     await controller.start()
     log.info("started", name=config.name, listen=controller.listening)
     await controller.finished
@@ -42,6 +53,7 @@
 
 
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is a controller that can reload
     level = logging.DEBUG if os.environ.get("ARROWKEEL_LOG") == "debug" else logging.INFO
     structlog.configure(
         processors=[
@@ -53,7 +65,7 @@
         cache_logger_on_first_use=True,
     )
     try:
-        config = load()
+        config = load(Clock.now())
     except ConfigError as error:
         print(f"arrowkeel cannot start: {error}", file=sys.stderr)
         return 2
--- a/arrowkeel/net/changelog.py
+++ b/arrowkeel/net/changelog.py
@@ -12,82 +12,44 @@
 
 from arrowkeel.net.config import MS, Address, Clock, MalformedNewsError, News, read_news
 
-SILENCE_NS = 3000 * MS  # a line comes each second; after so long without one the connection is dead
-DIAL_NS = 1000 * MS
-AGAIN_FIRST_NS, AGAIN_MOST_NS = 50 * MS, 1000 * MS  # between attempts that soon end
+# A line comes each second; two missing ones and a dial leave time within the 4 s that a stop is given.
+SILENCE_NS = 2200 * MS
+DIAL_NS = 500 * MS
+AGAIN_FIRST_NS, AGAIN_MOST_NS = 50 * MS, 500 * MS  # between attempts that soon end
 LINE_LIMIT = 4 << 20
 log = structlog.get_logger()
 
 
-class ChangeLog(asyncio.Protocol):
-    """One follower; every connection asks for what came after the last number it has."""
+class ChangeLine(asyncio.Protocol):
+    """One connection to the change log. What still comes on one that was dropped is not taken."""
 
-    def __init__(self, address: Address, last: int, clock: Clock, tell: Callable[[News], None]) -> None:
-        self.address, self.last, self.clock, self.tell = address, last, clock, tell
+    def __init__(self, follower: ChangeLog) -> None:
+        self.follower = follower
         self.transport: asyncio.Transport | None = None
         self.buffer = bytearray()
-        self.heard_at_ns = 0
-        self.again_ns = AGAIN_FIRST_NS
-        self.first_line = True
-        self.stopped = False
-        self.task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        self.task = asyncio.get_running_loop().create_task(self.follow())
-
-    def stop(self) -> None:
-        self.stopped = True
-        if self.task is not None:
-            self.task.cancel()
-        if self.transport is not None:
-            self.transport.abort()
-
-    async def follow(self) -> None:
-        loop = asyncio.get_running_loop()
-        while not self.stopped:
-            self.heard_at_ns = time.monotonic_ns()
-            try:
-                async with asyncio.timeout_at(loop.time() + DIAL_NS / 1e9):
-                    await loop.create_connection(lambda: self, self.address.host, self.address.port)
-            except OSError as error:  # a time-out is one too
-                log.warning("change log not reached", reason=str(error) or type(error).__name__)
-            else:
-                began_ns = time.monotonic_ns()
-                await self.watch()
-                if time.monotonic_ns() - began_ns > AGAIN_MOST_NS:
-                    self.again_ns = AGAIN_FIRST_NS
-            await asyncio.sleep(self.again_ns / 1e9)
-            self.again_ns = min(2 * self.again_ns, AGAIN_MOST_NS)
-
-    async def watch(self) -> None:
-        """Until the connection ends, or nothing has come for too long."""
-        while (transport := self.transport) is not None:
-            silent_at = self.heard_at_ns + SILENCE_NS
-            left_ns = silent_at - time.monotonic_ns()
-            if left_ns <= 0:
-                log.warning("change log silent, reconnecting", last=self.last)
-                self.drop(transport)
-                return
-            await asyncio.sleep(min(left_ns, 100 * MS) / 1e9)
-
-    def drop(self, transport: asyncio.Transport) -> None:
-        self.transport = None
-        transport.abort()
+        self.heard_at_ns = time.monotonic_ns()
+        self.is_first = True  # the next line is the first one
+        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.buffer.clear()
-        self.first_line = True
-        self.transport.write(f"since {self.last}\n".encode())
+        if self.ended.done():
+            self.transport.abort()
+            return
+        self.heard_at_ns = time.monotonic_ns()
+        self.transport.write(f"since {self.follower.last}\n".encode())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        # The loss of a connection that was dropped may be told when the next one is already up.
-        if self.transport is not None and self.transport.is_closing():
-            self.transport = None
+        self.drop()
+
+    def drop(self) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+        if self.transport is not None:
+            self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        transport = self.transport
-        if transport is None or transport.is_closing():
+        if self.ended.done():
             return
         self.heard_at_ns = time.monotonic_ns()
         self.buffer += data
@@ -98,24 +60,85 @@
                 raise MalformedNewsError("line too long")
             for line in lines:
                 if line.strip():
-                    self.take(line)
+                    self.follower.take(line, self.is_first)
+                    self.is_first = False
         except MalformedNewsError as error:
-            log.warning("malformed change-log line, reconnecting", reason=str(error), last=self.last)
-            self.drop(transport)
+            log.warning("malformed change-log line, reconnecting", reason=str(error), last=self.follower.last)
+            self.drop()
+
+
+class ChangeLog:
+    """One follower; every connection asks for what came after the last number it has."""
+
+    def __init__(self, address: Address, last: int, clock: Clock, tell: Callable[[News], None]) -> None:
+        self.address, self.last, self.clock, self.tell = address, last, clock, tell
+        self.line: ChangeLine | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self.follow())
+
+    def stop(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+        if self.line is not None:
+            self.line.drop()
 
-    def take(self, line: bytes) -> None:
+    def move(self, address: Address) -> None:
+        """Follow it at another address, from the last number on and at once."""
+        self.stop()
+        self.address = address
+        self.start()
+
+    async def follow(self) -> None:
+        again_ns = AGAIN_FIRST_NS
+        while True:
+            line = self.line = ChangeLine(self)
+            began_ns = time.monotonic_ns()
+            try:
+                await self.dial(line, began_ns + DIAL_NS)
+            except OSError as error:  # a time-out is one too
+                log.warning("change log not reached", reason=str(error) or type(error).__name__)
+                line.drop()
+            else:
+                await self.watch(line)
+            if time.monotonic_ns() - began_ns > AGAIN_MOST_NS:
+                again_ns = AGAIN_FIRST_NS
+            await asyncio.sleep(again_ns / 1e9)
+            again_ns = min(2 * again_ns, AGAIN_MOST_NS)
+
+    async def dial(self, line: ChangeLine, until_ns: int) -> None:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout_at(loop.time() + (until_ns - time.monotonic_ns()) / 1e9):
+            await loop.create_connection(lambda: line, self.address.host, self.address.port)
+
+    async def watch(self, line: ChangeLine) -> None:
+        """Until the connection ends, or nothing has come for too long."""
+        while not line.ended.done():
+            left_ns = line.heard_at_ns + SILENCE_NS - time.monotonic_ns()
+            if left_ns > 0:
+                await asyncio.wait({line.ended}, timeout=left_ns / 1e9)
+            else:
+                log.warning("change log silent, reconnecting", last=self.last)
+                line.drop()
+
+    def take(self, line: bytes, is_first: bool) -> None:
         try:
             raw = json.loads(line)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise MalformedNewsError(f"not JSON ({error})") from None
         news = read_news(raw, self.clock)
         is_event = len(raw) > 1
         # Guards against a lost event: numbers come in order, and the last one told is one we have.
         # What a new connection starts with is all there is, so its first number may lie further on.
         ahead = news.seq - self.last - (1 if is_event else 0)
-        if ahead > 0 and not self.first_line:
+        if ahead > 0 and not is_first:
             raise MalformedNewsError(f"seq: {news.seq} after {self.last}")
-        self.first_line = False
-        if is_event and news.seq > self.last:  # else a duplicate
+        if is_event:
+            self.learn(news)
+
+    def learn(self, news: News) -> None:
+        """An event from the log or from a new configuration; one that is known already tells nothing."""
+        if news.seq > self.last:
             self.last = news.seq
             self.tell(news)
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -32,6 +32,9 @@
     host: str
     port: int
 
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
 
 @dataclass(frozen=True, slots=True)
 class Entry:
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -83,6 +83,23 @@
         host, port = self.server.sockets[0].getsockname()[:2] if self.server is not None else ("", 0)
         return f"{host}:{port}"
 
+    def reload(self, config: Config) -> None:
+        """What a new configuration changes while calls and connections go on as they are.
+
+        The change log moves at once: its old address tells nothing more. What the module was built with,
+        and where we listen, hold until the next start.
+        """
+        old = self.config
+        kept = ("name", "listen", "seed", "settings", "report_names")
+        later = [name for name in kept if getattr(config, name) != getattr(old, name)]
+        self.config = replace(config, **{name: getattr(old, name) for name in kept})
+        log.info("configuration taken", changelog=str(config.changelog), from_next_start=later)
+        for news in config.known:
+            if news.complete or news.seq == self.changelog.last + 1:
+                self.changelog.learn(news)
+        if config.changelog != old.changelog:
+            self.changelog.move(config.changelog)
+
     def stop(self) -> None:
         """Calls go on being taken for a while; the end comes once every open call has its answer."""
         if not self.stop_at_ns:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -156,6 +156,25 @@
     assert caller.receive() is None and program.process.wait(20) == 0
 
 
+def test_a_new_configuration_moves_the_change_log_and_a_bad_one_changes_nothing(program: Program) -> None:
+    caller, moved, near = program.caller(), Listener(), Listener()
+    program.standing(caller)
+    program.config["changelog"] = moved.address
+    program.path.write_text(json.dumps(program.config))
+    program.process.send_signal(signal.SIGHUP)
+    program.news.socket = moved.accept()
+    assert program.news.socket.recv(100) == b"since 1\n"
+    program.tell(event(2, instance("near", 2, near.address)))
+    near.exchange()
+    for spoilt in ('{"name":', '{"limits": []}'):
+        program.path.write_text(spoilt)
+        program.process.send_signal(signal.SIGHUP)
+        program.logged("configuration not taken")
+    program.tell(event(3, instance("near", 2, near.address, "removed")))
+    program.exchange.release(CALL, 16)
+    assert caller.expect(Kind.RELEASE).cause() == 16
+
+
 def test_a_test_of_the_connection_passes(program: Program) -> None:
     program.caller().tested()
 
