Turn bad set-ups down by themselves and shed silent and idle callers' lines first

Probe: every message printed. What the exchanges closed on was in each case a set-up under the id; take() passed it on. Errors (cause 47) followed ids or numbers they do not know, which nobody here can tell. Lines that said nothing were held for 10 to 16 s; half messages too.

Now: read_offer refuses what no exchange can use (no id, patience, description or number); a bad set-up is turned down by itself (cause 100) while its line goes on; two under one id on one line end with one failure, another line's id is left alone; a line without a set-up after 2 s, or with half a message for 1.5 s, is closed; at the share the silent, then the longest idle line goes. A set-up taken back before the turn reaches nobody. Bad input is logged once in 5 s a kind. All bounds follow from memory and descriptors of the configuration (config.Bounds).

Stories fail without the change: the old program closed the whole line, cut the newest and kept the silent.

--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass
 from typing import Protocol
 
-from arrowkeel.net.codec import Clear, Code, Kind, MalformedMessageError, Message, encode, whole_number
-from arrowkeel.net.line import Line
+from arrowkeel.net.codec import NO_CALL, Clear, Code, Kind, MalformedMessageError, Message, encode
+from arrowkeel.net.codec import whole_number as read_whole
+from arrowkeel.net.line import Line, log
 
 MS = 1_000_000
 MOST_PATIENCE_MS = 3_600_000  # no caller waits an hour: a longer figure is cut to that
 TEST_PASSED = b"\x01"
+# A caller that sends nothing of use is owed a close within 3 s: it comes at a sweep after these.
+SILENT_NS, HALF_NS, LINGER_NS = 2000 * MS, 1500 * MS, 1000 * MS
+BAD_SET_UPS_LIMIT = 16  # on one connection; beyond it the connection goes once no good call is open there
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,41 +42,55 @@
     def caller_lost(self, line: CallerLine) -> None: ...
     def offered(self, line: CallerLine, offer: Offer) -> bool: ...
     def caller_ended(self, call: str, cause: int) -> None: ...
+    def caller_broke(self, line: CallerLine, call: str) -> None: ...
 
 
 def read_offer(message: Message) -> Offer:
+    """Guards the exchanges, which close on what they can't read whatever else is open there."""
+    if message.flaw:
+        raise MalformedMessageError(message.flaw)
+    if message.call == NO_CALL:
+        raise MalformedMessageError("a set-up of no call")
     figures = message.figures(Code.FIGURES)
 
     def figure(name: str, default: int | None = None) -> int:
         if name not in figures and default is not None:
             return default
-        return whole_number(figures.get(name, ""), f"parameter {Code.FIGURES.value}: {name}")
+        return read_whole(figures.get(name, ""), f"parameter {Code.FIGURES.value}: {name}")
 
     width = figure("width", 1)
     if width < 1:
         raise MalformedMessageError(f"parameter {Code.FIGURES.value}: width: {width} circuits")
+    patience_ms = message.whole(Code.PATIENCE)
+    if patience_ms < 1:
+        raise MalformedMessageError(f"parameter {Code.PATIENCE.value}: {patience_ms} milliseconds")
+    number, description = message.text(Code.NUMBER), message.parameters.get(Code.DESCRIPTION, b"")
+    if not number or not description:
+        raise MalformedMessageError("a set-up without number called or description")
     return Offer(
         call=message.call,
         class_name=message.text(Code.CLASS),
-        number_called=message.text(Code.NUMBER),
+        number_called=number,
         destination=figure("dest"),
         width=width,
         via=figure("via", -1),
-        patience_ms=min(max(0, message.whole(Code.PATIENCE)), MOST_PATIENCE_MS),
+        patience_ms=min(patience_ms, MOST_PATIENCE_MS),
         redial=message.text(Code.REDIAL, "0") == "1",
         transit=figure("transit", 0) == 1,
         was_cut=figure("again", 0) == 1,
-        description=message.parameters.get(Code.DESCRIPTION, b""),
+        description=description,
     )
 
 
 class CallerLine(Line):
     """One connection from callers; answers go back on the line that asked."""
 
-    def __init__(self, desk: CallerDesk) -> None:
-        super().__init__("caller")
+    def __init__(self, desk: CallerDesk, unsent_limit: int) -> None:
+        super().__init__("caller", unsent_limit)
         self.desk = desk
         self.open_calls: set[str] = set()
+        self.taken = self.bad = 0  # set-ups that were offered on, that were not
+        self.heard_at_ns = self.connected_at_ns = time.monotonic_ns()
 
     def connection_made(self, transport: object) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
@@ -83,8 +102,9 @@
     def take(self, message: Message) -> None:
         match message.kind:
             case Kind.SET_UP:
-                if not self.desk.offered(self, read_offer(message)):
-                    raise MalformedMessageError("set-up of a call that is already here")
+                self.take_set_up(message)
+            case _ if message.flaw:
+                raise MalformedMessageError(message.flaw)
             case Kind.RELEASE:
                 self.desk.caller_ended(message.call, message.cause())
             case Kind.TEST:
@@ -94,6 +114,42 @@
             case _:
                 raise MalformedMessageError(f"type {message.kind} is nothing a caller sends")
 
+    def take_set_up(self, message: Message) -> None:
+        """One that can't be used is turned down by itself: the good calls of this connection go on."""
+        self.heard_at_ns = time.monotonic_ns()
+        try:
+            offer = read_offer(message)
+        except MalformedMessageError as error:
+            log.warning("bad set-up turned down", reason=str(error))
+            if message.call in self.open_calls:
+                self.desk.caller_broke(self, message.call)
+            else:
+                self.release(message.call, Clear.UNREADABLE)
+        else:
+            if self.desk.offered(self, offer):
+                self.taken += 1
+                return
+        self.bad += 1
+        if self.bad > BAD_SET_UPS_LIMIT and not self.open_calls:
+            self.close()
+
+    def spoilt(self, reason: str) -> None:
+        """Each call that is open here gets its final answer before the connection goes."""
+        for call in sorted(self.open_calls):
+            self.desk.caller_broke(self, call)
+        log.warning("caller's connection closed", reason=reason)
+        self.close()
+
+    def sweep(self, now_ns: int) -> None:
+        """Close what says nothing, or half a message, while the caller is still owed its close."""
+        if not self.is_open:
+            if self.closing_since_ns and now_ns > self.closing_since_ns + LINGER_NS:
+                self.abort()
+        elif self.half_since_ns and now_ns > self.half_since_ns + HALF_NS:
+            self.spoilt("half a message, and no more")
+        elif not self.taken and not self.open_calls and now_ns > self.connected_at_ns + SILENT_NS:
+            self.spoilt("no set-up since it was opened")
+
     def answer(self, call: str, description: bytes) -> bool:
         return self.write(encode(Kind.ANSWER, call, {Code.DESCRIPTION: description}))
 
--- a/arrowkeel/net/changelog.py
+++ b/arrowkeel/net/changelog.py
@@ -16,7 +16,6 @@
 SILENCE_NS = 2200 * MS
 DIAL_NS = 500 * MS
 AGAIN_FIRST_NS, AGAIN_MOST_NS = 50 * MS, 500 * MS  # between attempts that soon end
-LINE_LIMIT = 4 << 20
 log = structlog.get_logger()
 
 
@@ -56,7 +55,7 @@
         *lines, rest = bytes(self.buffer).split(b"\n")
         self.buffer = bytearray(rest)
         try:
-            if len(rest) > LINE_LIMIT:
+            if len(rest) > self.follower.line_limit:
                 raise MalformedNewsError("line too long")
             for line in lines:
                 if line.strip():
@@ -70,8 +69,11 @@
 class ChangeLog:
     """One follower; every connection asks for what came after the last number it has."""
 
-    def __init__(self, address: Address, last: int, clock: Clock, tell: Callable[[News], None]) -> None:
+    def __init__(
+        self, address: Address, last: int, clock: Clock, tell: Callable[[News], None], line_limit: int
+    ) -> None:
         self.address, self.last, self.clock, self.tell = address, last, clock, tell
+        self.line_limit = line_limit
         self.line: ChangeLine | None = None
         self.task: asyncio.Task[None] | None = None
 
--- a/arrowkeel/net/codec.py
+++ b/arrowkeel/net/codec.py
@@ -15,7 +15,7 @@
 HEAD = struct.Struct(">HB8s")
 PARAMETER = struct.Struct(">BH")
 LENGTH_BYTES = 2
-CALL_DIGITS = 16
+NO_CALL = "0" * 16  # what is sent where no call is meant: it is the id of none
 
 
 class Kind(IntEnum):
@@ -52,6 +52,7 @@
     NO_CIRCUIT = 34
     UNAVAILABLE = 47
     NEVER_LEFT = 102
+    UNREADABLE = 100  # contents of a set-up that cannot be used
 
 
 class MalformedMessageError(ValueError):
@@ -63,6 +64,7 @@
     kind: int
     call: str
     parameters: Mapping[int, bytes] = field(default_factory=dict)
+    flaw: str = ""  # what cannot be read in a message whose length, type and call can
 
     def text(self, code: Code, default: str | None = None) -> str:
         value = self.parameters.get(code)
@@ -117,11 +119,12 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.whole = 0  # messages that the latest bytes made whole
 
     def feed(self, data: bytes) -> Iterator[Message]:
         """Every message that is whole by now; what came before a malformed one is yielded first."""
         self.buffer += data
-        at = 0
+        self.whole = at = 0
         try:
             while len(self.buffer) - at >= LENGTH_BYTES:
                 end = at + LENGTH_BYTES + int.from_bytes(self.buffer[at : at + LENGTH_BYTES], "big")
@@ -131,7 +134,7 @@
                 if len(self.buffer) < end:
                     break
                 message = read_message(bytes(self.buffer[at:end]))
-                at = end
+                at, self.whole = end, self.whole + 1
                 yield message
         finally:
             del self.buffer[:at]
@@ -143,11 +146,11 @@
     at = HEAD.size
     while at < len(raw):
         if at + PARAMETER.size > len(raw):
-            raise MalformedMessageError("parameter cut off in its head")
+            return Message(kind, call.hex(), {}, "parameter cut off in its head")
         code, length = PARAMETER.unpack_from(raw, at)
         at += PARAMETER.size
         if at + length > len(raw):
-            raise MalformedMessageError(f"parameter {code}: longer than its message")
+            return Message(kind, call.hex(), {}, f"parameter {code}: longer than its message")
         parameters[code] = raw[at : at + length]
         at += length
     return Message(kind, call.hex(), parameters)
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -12,6 +12,8 @@
 from arrowkeel import wire
 
 MS = 1_000_000
+LINES_SHARE = 0.6  # of the descriptors; the rest is for exchanges, the change log and what is being accepted
+PROGRAM_BYTES = 18 << 20  # what the program itself takes
 LIFECYCLES = {
     "up": it.Listing.SERVING,
     "draining": it.Listing.DRAINING,
@@ -70,18 +72,43 @@
         return max(0, unix_ms * MS - self.unix_ahead_ns) if unix_ms > 0 else 0
 
 
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What tables and buffers may hold, as parts of the memory and descriptors that the limits state."""
+
+    lines: int  # connections from callers, who hold at most a third of the descriptors
+    backlog: int  # connections that the machine may have accepted and we have not yet seen
+    open_calls: int
+    descriptions: int  # bytes, of all calls that may still be sent
+    records: int  # small entries of a table: ended calls, kept releases
+    unsent: int  # bytes that one peer may leave unread
+    news: int  # bytes of one line of the change log
+
+    @classmethod
+    def within(cls, memory: int, descriptors: int, most_open: int) -> Bounds:
+        spare, lines = max(PROGRAM_BYTES // 4, memory - PROGRAM_BYTES), int(descriptors * LINES_SHARE)
+        return cls(
+            lines=lines,
+            backlog=max(16, descriptors // 6),
+            open_calls=min(most_open, spare // 4096),
+            descriptions=spare // 4,
+            records=spare // 16384,
+            unsent=max(32 << 10, spare // (2 * lines)),
+            news=spare // 8,
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
     listen: Address
     seed: int
-    descriptors: int
+    bounds: Bounds
     changelog: Address
     known: tuple[News, ...]
     last_seq: int
     settings: it.Settings
     report_names: tuple[str, ...]
-    open_limit: int
     dial_ns: int
     clock: Clock
 
@@ -153,6 +180,9 @@
     descriptors = field_of(limits, "sockets", int, "limits.")
     if descriptors < 32:
         raise ConfigError("limits.sockets: fewer than 32 are too few")
+    memory = field_of(limits, "memory_mb", int, "limits.") << 20
+    if memory <= PROGRAM_BYTES:
+        raise ConfigError(f"limits.memory_mb: the program alone takes {PROGRAM_BYTES >> 20}")
     try:
         news = tuple(read_news(entry, clock) for entry in field_of(known, "results", list, "known."))
     except MalformedNewsError as error:
@@ -166,13 +196,14 @@
         name=field_of(raw, "name", str),
         listen=read_address(raw.get("listen"), "listen", least_port=0),
         seed=seed,
-        descriptors=descriptors,
+        bounds=Bounds.within(
+            memory, descriptors, field_of(allowed, "maxOpen", int, "settings.permissions.")
+        ),
         changelog=read_address(raw.get("changelog"), "changelog"),
         known=news,
         last_seq=field_of(known, "seq", int, "known."),
         settings=read,
         report_names=names,
-        open_limit=field_of(allowed, "maxOpen", int, "settings.permissions."),
         dial_ns=field_of(allowed, "dialTimeoutNs", int, "settings.permissions."),
         clock=clock,
     )
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -16,15 +16,13 @@
 from arrowkeel.net.codec import Clear
 from arrowkeel.net.config import MS, Config, News
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from arrowkeel.net.line import log as sparse
 from arrowkeel.policy import Policy
 
 ACCEPT_NS = 700 * MS  # after SIGTERM calls go on coming for so long
 FLUSH_NS = 300 * MS  # for the last answers to be read, at the end
 OVERDUE_NS = 15 * MS  # past its caller's time a call is ended here, whatever the module did
-ENDED_REMEMBERED = 20_000  # ids of ended calls: what crosses their end, or comes twice, is of no call
-KEPT_LIMIT = 4096  # releases that wait for a connection
-DESCRIPTIONS_LIMIT = 32 << 20  # bytes held for calls that may still be sent
-LINES_SHARE = 0.6  # of the descriptors, for connections from callers, who hold at most a third
+SWEEP_NS = 200 * MS  # between looks for connections that are of no use
 log = structlog.get_logger()
 
 
@@ -53,7 +51,7 @@
         self.calls: dict[str, CallRecord] = {}
         self.open_calls = 0
         self.described = 0  # bytes of descriptions held
-        self.ended = Known(ENDED_REMEMBERED)
+        self.ended = Known(config.bounds.records)  # what crosses a call's end, or comes twice, is of none
         self.lines: dict[CallerLine, None] = {}
         self.pools: dict[str, ExchangePool] = {}
         self.started: dict[str, int] = {}
@@ -62,7 +60,9 @@
         self.kept_for_exchanges: dict[str, int] = {}
         self.events: list[it.Event] = []
         self.turn_due = False
-        self.changelog = ChangeLog(config.changelog, config.last_seq, config.clock, self.news)
+        self.changelog = ChangeLog(
+            config.changelog, config.last_seq, config.clock, self.news, config.bounds.news
+        )
         self.server: asyncio.Server | None = None
         self.stop_at_ns = 0
         self.finished: asyncio.Future[None] = self.loop.create_future()
@@ -74,10 +74,20 @@
             self.news(news, remembered=index == 0)
         listen = self.config.listen
         self.server = await self.loop.create_server(
-            lambda: CallerLine(self), listen.host, listen.port, backlog=256
+            lambda: CallerLine(self, self.config.bounds.unsent),
+            listen.host,
+            listen.port,
+            backlog=self.config.bounds.backlog,
         )
+        self.sweep()
         self.changelog.start()
 
+    def sweep(self) -> None:
+        now = time.monotonic_ns()
+        for line in list(self.lines):
+            line.sweep(now)
+        self.loop.call_later(SWEEP_NS / 1e9, self.sweep)
+
     @property
     def listening(self) -> str:
         host, port = self.server.sockets[0].getsockname()[:2] if self.server is not None else ("", 0)
@@ -141,7 +151,9 @@
 
     def turn(self) -> None:
         self.turn_due = False
-        events, self.events = self.events, []
+        # Guards the rates: what was taken back before it was looked at must not count as sent or asked for.
+        events = [event for event in self.events if not self.taken_back(event)]
+        self.events = []
         now = time.monotonic_ns()
         for place, event in enumerate(events):
             if isinstance(event, it.CallOffered) and (record := self.calls.get(event.call)):
@@ -149,6 +161,9 @@
         for action in self.policy.handle(now, events):
             self.carry_out(action, now)
 
+    def taken_back(self, event: it.Event) -> bool:
+        return isinstance(event, it.CallOffered) and event.call not in self.calls
+
     def carry_out(self, action: it.Action, now: int) -> None:
         match action:
             case it.SetUp(call, exchange, abandon_at_ns):
@@ -251,8 +266,8 @@
     # From callers
 
     def caller_connected(self, line: CallerLine) -> None:
-        if len(self.lines) >= int(self.config.descriptors * LINES_SHARE):
-            log.warning("too many connections from callers, one closed", open=len(self.lines))
+        if len(self.lines) >= self.config.bounds.lines and not self.shed_a_line():
+            sparse.warning("no idle connection from callers, the newest closed", open=len(self.lines))
             line.abort()
             return
         self.lines[line] = None
@@ -260,20 +275,44 @@
         for call, cause in kept.items():
             self.release_to_caller(call, cause, line)
 
+    def shed_a_line(self) -> bool:
+        """Make room: the one that never sent a set-up goes first, then the one that was idle for longest.
+
+        Guards usual callers, whose connection is the newest, against those that connect and say no more.
+        """
+        idle = (line for line in self.lines if line.is_open and not line.open_calls)
+        line = min(idle, key=lambda line: (line.taken > 0, line.heard_at_ns), default=None)
+        if line is None:
+            return False
+        sparse.warning("many connections from callers, an idle one closed", open=len(self.lines))
+        line.close()
+        return True
+
+    def caller_broke(self, line: CallerLine, call: str) -> None:
+        """A call whose caller can't go on with it: its one final answer, and nothing stays out for it."""
+        self.caller_ended(call, Clear.NORMAL)
+        line.fail(call)
+
     def caller_lost(self, line: CallerLine) -> None:
         self.lines.pop(line, None)
         for call in sorted(line.open_calls):
             self.caller_ended(call, Clear.NORMAL)
 
     def offered(self, line: CallerLine, offer: Offer) -> bool:
-        call = offer.call
+        """Whether the call was taken; else it has had its answer."""
+        call, bounds = offer.call, self.config.bounds
+        if call in line.open_calls:
+            # Two set-ups under one id on one connection: no answer could tell which of them it is for.
+            self.caller_broke(line, call)
+            return False
         if call in self.calls:
+            line.release(call, Clear.UNREADABLE)  # the call of that id goes on, on its own connection
             return False
-        full = len(self.calls) >= self.config.open_limit or self.described > DESCRIPTIONS_LIMIT
+        full = len(self.calls) >= bounds.open_calls or self.described > bounds.descriptions
         if full or offer.class_name not in self.class_names:
             # Guards the tables and the module: it would take a class that it does not know for its first.
             line.refuse(call, self.config.settings.longest_advice_ns)
-            return True
+            return full
         now = time.monotonic_ns()
         record = self.calls[call] = CallRecord(line, offer, now + offer.patience_ms * MS)
         line.open_calls.add(call)
@@ -319,7 +358,7 @@
         pool = next((pool for pool in self.pools.values() if pool.is_open), None)
         if pool is not None:
             pool.release(call, cause)
-        elif len(self.kept_for_exchanges) < KEPT_LIMIT:
+        elif len(self.kept_for_exchanges) < self.config.bounds.records:
             self.kept_for_exchanges[call] = cause
 
     def release_to_caller(self, call: str, cause: int, line: CallerLine | None) -> None:
@@ -329,7 +368,7 @@
         for other in self.lines:
             if other.is_open and other.release(call, cause):
                 return
-        if len(self.kept_for_callers) < KEPT_LIMIT:
+        if len(self.kept_for_callers) < self.config.bounds.records:
             self.kept_for_callers[call] = cause
 
     # From exchanges
@@ -433,8 +472,7 @@
                 self.gone(exchange)
                 pool = None
             if pool is None:
-                names, dial_ns = self.config.report_names, self.config.dial_ns
-                pool = self.pools[exchange] = ExchangePool(exchange, address, self, names, dial_ns)
+                pool = self.pools[exchange] = ExchangePool(exchange, address, self, self.config)
             elif entry.listed.started_ns > self.started.get(exchange, 0):
                 self.cut_standing(pool, entry.listed.started_ns)
             self.started[exchange] = entry.listed.started_ns
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -12,11 +12,9 @@
 from arrowkeel import interface as it
 from arrowkeel import wire
 from arrowkeel.net.codec import Clear, Code, Kind, MalformedMessageError, Message, encode
-from arrowkeel.net.config import MS, Address
+from arrowkeel.net.config import MS, Address, Config
 from arrowkeel.net.line import Line
 
-QUEUE_LIMIT = 512  # set-ups that wait for a connection which is coming up
-KEPT_LIMIT = 4096  # releases that wait for one
 REDIAL_FIRST_NS, REDIAL_MOST_NS = 50 * MS, 1000 * MS  # between dials to an exchange that takes none
 DEAD_AFTER_NS = 2000 * MS  # lost and then refused for so long: its process is gone, and its calls with it
 ENDINGS: dict[int, it.Ending] = {
@@ -64,7 +62,7 @@
     """One connection to an exchange."""
 
     def __init__(self, pool: ExchangePool) -> None:
-        super().__init__(f"exchange {pool.exchange}")
+        super().__init__(f"exchange {pool.exchange}", pool.bounds.unsent)
         self.pool = pool
         self.set_ups: set[str] = set()  # sent here and not yet answered
 
@@ -73,6 +71,8 @@
 
     def take(self, message: Message) -> None:
         pool, call = self.pool, message.call
+        if message.flaw:
+            raise MalformedMessageError(message.flaw)
         match message.kind:
             case Kind.ANSWER:
                 # An answer that crossed our give-up is of no call any more: the give-up releases it there.
@@ -117,11 +117,9 @@
     open and one that is coming up.
     """
 
-    def __init__(
-        self, exchange: str, address: Address, desk: ExchangeDesk, report_names: tuple[str, ...], dial_ns: int
-    ) -> None:
+    def __init__(self, exchange: str, address: Address, desk: ExchangeDesk, config: Config) -> None:
         self.exchange, self.address, self.desk = exchange, address, desk
-        self.report_names, self.dial_ns = report_names, dial_ns
+        self.report_names, self.dial_ns, self.bounds = config.report_names, config.dial_ns, config.bounds
         self.serving = True
         self.closed = False
         self.line: ExchangeLine | None = None
@@ -217,7 +215,7 @@
             self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
         elif self.is_open:
             self.send(order)
-        elif len(self.queue) >= QUEUE_LIMIT:
+        elif len(self.queue) >= self.bounds.records:
             self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
         else:
             self.queue[order.call] = order
@@ -255,7 +253,7 @@
     def release(self, call: str, cause: int) -> None:
         """Release a call there; kept until a connection exists."""
         message = encode(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,))})
-        if (self.line is None or not self.line.write(message)) and len(self.kept) < KEPT_LIMIT:
+        if (self.line is None or not self.line.write(message)) and len(self.kept) < self.bounds.records:
             self.kept[call] = cause
             self.dial()
 
--- a/arrowkeel/net/line.py
+++ b/arrowkeel/net/line.py
@@ -1,25 +1,48 @@
-"""What both sides' connections have in common: decoding, bounded writing, one log line on bad input."""
+"""What both sides' connections have in common: decoding, bounded writing, a sparse log of bad input."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import cast
+import time
+from typing import Any, cast
 
 import structlog
 
 from arrowkeel.net.codec import Decoder, MalformedMessageError, Message
 
-UNSENT_LIMIT = 1 << 20  # bytes that a peer may leave unread; beyond it the connection is closed
-log = structlog.get_logger()
+SPARSE_NS = 5_000_000_000  # one line of a kind in so long; how many were left out is told with the next
+
+
+class SparseLog:
+    """What bad input causes is logged now and then: a flood of it must not flood the log too."""
+
+    def __init__(self) -> None:
+        self.log = structlog.get_logger()
+        self.since: dict[str, tuple[int, int]] = {}  # by event: when it was last told, how many since
+
+    def warning(self, event: str, **facts: Any) -> None:
+        now = time.monotonic_ns()
+        told_ns, left_out = self.since.get(event, (-SPARSE_NS, 0))
+        if now - told_ns < SPARSE_NS:
+            self.since[event] = (told_ns, left_out + 1)
+            return
+        self.since[event] = (now, 0)
+        self.log.warning(event, left_out=left_out, **facts)
+
+
+log = SparseLog()
 
 
 class Line(asyncio.Protocol):
     """One connection that carries messages of many calls."""
 
-    def __init__(self, side: str) -> None:
+    def __init__(self, side: str, unsent_limit: int) -> None:
         self.side = side
+        self.unsent_limit = unsent_limit  # bytes that the peer may leave unread
         self.decoder = Decoder()
         self.transport: asyncio.Transport | None = None
+        self.half_since_ns = 0  # since when a message is begun and not whole; 0 while none is
+        self.closing_since_ns = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -35,8 +58,16 @@
                     return
                 self.take(message)
         except MalformedMessageError as error:
-            log.warning("malformed message, connection closed", side=self.side, reason=str(error))
-            self.abort()
+            self.spoilt(str(error))
+        if not self.decoder.buffer:
+            self.half_since_ns = 0
+        elif self.decoder.whole or not self.half_since_ns:
+            self.half_since_ns = time.monotonic_ns()
+
+    def spoilt(self, reason: str) -> None:
+        """What comes on this connection can't be told apart any more: it is closed."""
+        log.warning("malformed message, connection closed", side=self.side, reason=reason)
+        self.abort()
 
     def take(self, message: Message) -> None:
         raise NotImplementedError
@@ -46,7 +77,7 @@
         if self.transport is None or self.transport.is_closing():
             return False
         # A peer that has stopped reading must not fill our memory: what it would not read is given up.
-        if self.transport.get_write_buffer_size() + len(data) > UNSENT_LIMIT:
+        if self.transport.get_write_buffer_size() + len(data) > self.unsent_limit:
             log.warning("peer stopped reading, connection closed", side=self.side)
             self.abort()
             return False
@@ -67,5 +98,7 @@
             self.transport.abort()
 
     def close(self) -> None:
+        """What was written still leaves."""
         if self.transport is not None:
+            self.closing_since_ns = self.closing_since_ns or time.monotonic_ns()
             self.transport.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -15,10 +15,12 @@
 from typing import Any
 
 from arrowkeel.net.codec import Code, Decoder, Kind, Message, encode
+from arrowkeel.net.config import Clock, Config, read_config
 
 PATIENCE_S = 20.0  # only a failing test waits so long
 CALL, OTHER = "00000000000000a1", "00000000000000b2"
 STATE = {Code.REPORT: "idle:40;circuits:60;max_rate:-1"}
+LIMITS = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
 SETTINGS: dict[str, Any] = {
     "classes": [
         {"name": "voice", "onTimeNs": 30_000_000_000, "deadlineNs": 60_000_000_000, "stream": True},
@@ -52,18 +54,23 @@
         extra = {Code[name.upper()]: value for name, value in parameters.items()}
         self.send(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,)), **extra})
 
-    def set_up(self, call: str = CALL, dest: int = 1, patience_ms: int = 60_000, kind: str = "voice") -> None:
-        self.send(
-            Kind.SET_UP,
-            call,
-            {
-                Code.CLASS: kind,
-                Code.PATIENCE: str(patience_ms),
-                Code.NUMBER: "7f3a9c21e0b4d655",
-                Code.FIGURES: f"dest:{dest};width:1;via:-1",
-                Code.DESCRIPTION: b"offer \x00\xff",
-            },
-        )
+    def set_up(
+        self,
+        call: str = CALL,
+        dest: int = 1,
+        patience_ms: int = 60_000,
+        kind: str = "voice",
+        changes: dict[Code, bytes | str | None] | None = None,
+    ) -> None:
+        parameters: dict[Code, bytes | str | None] = {
+            Code.CLASS: kind,
+            Code.PATIENCE: str(patience_ms),
+            Code.NUMBER: "7f3a9c21e0b4d655",
+            Code.FIGURES: f"dest:{dest};width:1;via:-1",
+            Code.DESCRIPTION: b"offer \x00\xff",
+            **(changes or {}),
+        }
+        self.send(Kind.SET_UP, call, {code: value for code, value in parameters.items() if value is not None})
 
     def receive(self) -> Message | None:
         """The next message, or None once the other side has closed."""
@@ -125,6 +132,13 @@
     return {"seq": seq, "fleet": {"generation": seq, "reset": reset, "instances": list(instances)}}
 
 
+def config_of(**changes: Any) -> Config:
+    """What a configuration like the program's below comes to, for a part of it alone."""
+    raw = {"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "limits": LIMITS, "settings": SETTINGS}
+    raw |= {"changelog": "127.0.0.1:1", "known": {"seq": 1, "results": []}, **changes}
+    return read_config(json.dumps(raw), Clock.now())
+
+
 class Program:
     """The program as it is started in service, between one exchange, a change log and callers."""
 
@@ -134,7 +148,7 @@
             "name": "n0",
             "listen": "127.0.0.1:0",
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+            "limits": LIMITS,
             "changelog": self.changelog.address,
             "known": {"seq": 1, "results": [event(1, instance("far", 1, self.far.address), reset=True)]},
             "settings": SETTINGS,
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -28,7 +28,7 @@
 
 @pytest.mark.parametrize(
     ("raw", "named"),
-    [(CUT_OFF, "cut off"), (b"\x00\x08", "bytes"), (b"\x40\x00", "bytes"), (TOO_LONG, "longer")],
+    [(b"\x00\x08", "bytes"), (b"\x40\x00", "bytes")],
 )
 def test_what_came_before_a_malformed_message_is_still_given(raw: bytes, named: str) -> None:
     feed = Decoder().feed(RELEASE + raw)
@@ -37,6 +37,12 @@
         next(feed)
 
 
+@pytest.mark.parametrize(("raw", "named"), [(CUT_OFF, "cut off"), (TOO_LONG, "longer")])
+def test_a_message_whose_parameters_are_no_parameters_still_tells_its_call(raw: bytes, named: str) -> None:
+    bad, good = Decoder().feed(raw + RELEASE)
+    assert (bad.kind, bad.call) == (12, CALL) and named in bad.flaw and not good.flaw
+
+
 @pytest.mark.parametrize("value", [b"12x", b"", b"\xff", b"1" * 19, "\u0663".encode(), b"+1"])
 def test_a_number_is_decimal_digits(value: bytes) -> None:
     with pytest.raises(MalformedMessageError, match="66"):
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -14,7 +14,7 @@
 from arrowkeel.net.codec import Code, Kind
 from arrowkeel.net.config import Address
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
-from tests.peers import CALL, OTHER, Listener, Peer
+from tests.peers import CALL, OTHER, Listener, Peer, config_of
 
 
 class Desk:
@@ -50,7 +50,7 @@
     async def run() -> None:
         host, _, port = address.rpartition(":")
         desk = Desk()
-        pool = ExchangePool("x", Address(host, int(port)), desk, ("idle", "circuits"), 500_000_000)
+        pool = ExchangePool("x", Address(host, int(port)), desk, config_of())
         try:
             await asyncio.wait_for(story(pool, desk), 20)
         finally:
@@ -160,7 +160,7 @@
         while line.write(bytes(16384)):
             most, sent = max(most, line.transport.get_write_buffer_size()), sent + 1
             assert sent < 10_000, "nothing bounds what is held for it"
-        assert most <= 1 << 20 and not line.is_open
+        assert most <= pool.bounds.unsent and not line.is_open
         peer.socket.close()
 
     play(far.address, story)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,12 +5,14 @@
 import asyncio
 import json
 import signal
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
 from arrowkeel import Policy
+from arrowkeel.net.callers import BAD_SET_UPS_LIMIT
 from arrowkeel.net.codec import Clear, Code, Kind
 from arrowkeel.net.config import Clock, read_config
 from arrowkeel.net.controller import Controller
@@ -71,12 +73,107 @@
     bad.set_up()
     program.exchange.expect(Kind.SET_UP)
     bad.socket.sendall(b"\x00\x03abc")
+    assert bad.expect(Kind.RELEASE).cause() == Clear.TEMPORARY_FAILURE
     assert bad.receive() is None
     assert program.exchange.expect(Kind.RELEASE).cause() == 16
-    program.logged("malformed message")
     program.standing(good, OTHER)
 
 
+BAD_SET_UPS: dict[str, dict[Code, bytes | str | None]] = {
+    "no patience": {Code.PATIENCE: None},
+    "patience of the past": {Code.PATIENCE: "-5"},
+    "patience beyond number": {Code.PATIENCE: "9" * 23},
+    "no description": {Code.DESCRIPTION: None},
+    "no width": {Code.FIGURES: "dest:1;width:0;via:-1"},
+    "no number": {Code.FIGURES: "dest:nan;width:1;via:-1"},
+}
+
+
+@pytest.mark.parametrize("bad", [*BAD_SET_UPS, "no id", "cut off"])
+def test_a_bad_set_up_is_turned_down_and_the_good_calls_of_its_connection_go_on(
+    program: Program, bad: str
+) -> None:
+    """Guards the exchanges too: they close on what they cannot read, whatever else is open there."""
+    caller, third = program.caller(), "0" * 16 if bad == "no id" else "00000000000000c3"
+    caller.set_up()
+    program.exchange.expect(Kind.SET_UP)
+    if bad == "cut off":
+        caller.socket.sendall(b"\x00\x0b\x01" + bytes.fromhex(third) + b"\x40\x00")
+    else:
+        caller.set_up(third, changes=BAD_SET_UPS.get(bad))
+    assert caller.expect(Kind.RELEASE, third).cause() == Clear.UNREADABLE
+    caller.set_up(OTHER)
+    program.exchange.expect(Kind.SET_UP, OTHER)
+    program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
+    caller.expect(Kind.ANSWER)
+
+
+def test_two_set_ups_under_one_id_never_stand_and_another_callers_id_is_left_alone(program: Program) -> None:
+    caller, bad = program.caller(), program.caller()
+    caller.set_up()
+    program.exchange.expect(Kind.SET_UP)
+    bad.set_up()  # the id of a call that is open on another connection
+    assert bad.expect(Kind.RELEASE).cause() == Clear.UNREADABLE
+    for _ in range(2):
+        bad.set_up(OTHER)
+    assert bad.expect(Kind.RELEASE, OTHER).cause() == Clear.TEMPORARY_FAILURE
+    program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
+    caller.expect(Kind.ANSWER)
+
+
+@pytest.mark.parametrize("sent", [b"", b"\x00\x40\x01"])
+def test_a_connection_that_says_nothing_or_half_a_message_is_closed_in_time(
+    program: Program, sent: bytes
+) -> None:
+    caller, bad = program.caller(), program.caller()
+    program.standing(caller)
+    bad.socket.sendall(sent)
+    began = time.monotonic()
+    assert bad.receive() is None and time.monotonic() - began < 3
+    program.exchange.release(CALL, 16)
+    caller.expect(Kind.RELEASE)
+
+
+def test_at_the_share_of_descriptors_an_idle_connection_goes_and_a_callers_newest_stays(
+    tmp_path: Path,
+) -> None:
+    with running(tmp_path, limits={"cores": 1.0, "memory_mb": 64, "sockets": 32}) as program:
+        usual = program.caller()
+        usual.set_up()
+        program.exchange.expect(Kind.SET_UP)
+        idle = [program.caller() for _ in range(30)]  # more than the program may hold
+        newest = program.caller()
+        program.standing(newest, OTHER)
+        assert idle[0].receive() is None
+        program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
+        usual.expect(Kind.ANSWER)
+
+
+def test_a_call_taken_back_before_it_was_looked_at_reaches_neither_module_nor_exchange(
+    program: Program,
+) -> None:
+    caller = program.caller()
+    program.process.send_signal(signal.SIGSTOP)  # so that both are read at once
+    caller.set_up()
+    caller.release(CALL, 16)
+    program.process.send_signal(signal.SIGCONT)
+    caller.tested()
+    program.standing(caller, OTHER)  # the first that the exchange hears of
+
+
+def test_a_flood_of_bad_set_ups_is_answered_ended_and_logged_once(program: Program) -> None:
+    for _ in range(3):
+        bad = program.caller()
+        for _ in range(BAD_SET_UPS_LIMIT + 1):
+            bad.set_up(changes={Code.DESCRIPTION: None})
+        for _ in range(BAD_SET_UPS_LIMIT + 1):
+            bad.expect(Kind.RELEASE)
+        assert bad.receive() is None
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(20) == 0 and program.process.stdout is not None
+    assert len(program.process.stdout.readlines()) < 10
+
+
 def test_a_malformed_report_closes_the_exchanges_connection_and_another_comes(program: Program) -> None:
     program.exchange.send(Kind.GROUP_STATE, CALL, {Code.REPORT: "idle:many"})
     assert program.exchange.receive() is None
