Keep two connections to each exchange and replace a mute one

Probe: every message on exchanges' connections printed. After such an answer its connection brings nothing more and stays open: nothing read from 13.69 s on while 30 set-ups went out on it until 24.36 s. ExchangePool kept one connection and believed it as long as it was open, so its set-ups timed out and its releases were never heard. On live connections the longest time from a set-up to the next message (the group's state) was 10 ms over 2,500 set-ups.

Now: two connections, each set-up on the one with fewer open; mute ones are told apart by a set-up that nothing follows for 250 ms, a state the other has told, half a message, and 3 s of quiet; they are replaced once a new one is open. Set-ups lost with a connection are released in case their answer was lost, and releases that a mute one ate are sent again.

Stories fail with the limits taken out. The scripted exchange in the tests now tells states as real ones do.

--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -22,7 +22,7 @@
 ACCEPT_NS = 700 * MS  # after SIGTERM calls go on coming for so long
 FLUSH_NS = 300 * MS  # for the last answers to be read, at the end
 OVERDUE_NS = 15 * MS  # past its caller's time a call is ended here, whatever the module did
-SWEEP_NS = 200 * MS  # between looks for connections that are of no use
+SWEEP_NS, SWEEPS = 50 * MS, 4  # between looks for connections that are of no use; callers' at every fourth
 log = structlog.get_logger()
 
 
@@ -64,6 +64,7 @@
             config.changelog, config.last_seq, config.clock, self.news, config.bounds.news
         )
         self.server: asyncio.Server | None = None
+        self.sweeps = 0
         self.stop_at_ns = 0
         self.finished: asyncio.Future[None] = self.loop.create_future()
 
@@ -84,7 +85,10 @@
 
     def sweep(self) -> None:
         now = time.monotonic_ns()
-        for line in list(self.lines):
+        for pool in self.pools.values():
+            pool.sweep(now)
+        self.sweeps = (self.sweeps + 1) % SWEEPS
+        for line in list(self.lines) if not self.sweeps else ():
             line.sweep(now)
         self.loop.call_later(SWEEP_NS / 1e9, self.sweep)
 
@@ -477,7 +481,8 @@
                 self.cut_standing(pool, entry.listed.started_ns)
             self.started[exchange] = entry.listed.started_ns
             pool.set_serving(entry.listed.listing is it.Listing.SERVING)
-            pool.dial()
+            if not pool.lines:
+                pool.dial()
         for entry in news.entries:
             log.debug("listed", exchange=entry.listed.exchange, listing=entry.listed.listing.value)
         self.tell(it.ExchangeList(kind, tuple(entry.listed for entry in news.entries)))
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -17,6 +17,11 @@
 
 REDIAL_FIRST_NS, REDIAL_MOST_NS = 50 * MS, 1000 * MS  # between dials to an exchange that takes none
 DEAD_AFTER_NS = 2000 * MS  # lost and then refused for so long: its process is gone, and its calls with it
+LINES_KEPT, LINES_MOST = 2, 4  # connections to one exchange: usually, and with those that are to replace one
+# A set-up takes a circuit, and the group's state comes at once on each connection: one that brings nothing
+# for so long after a set-up, or lacks a state that another has, is mute, however open it looks.
+MUTE_NS = 250 * MS
+QUIET_NS = 3000 * MS  # nothing heard at all: a new connection brings the state and the missed releases
 ENDINGS: dict[int, it.Ending] = {
     Clear.NO_CIRCUIT: it.Ending.TURNED_AWAY,
     Clear.NEVER_LEFT: it.Ending.NOT_SENT,
@@ -65,14 +70,25 @@
         super().__init__(f"exchange {pool.exchange}", pool.bounds.unsent)
         self.pool = pool
         self.set_ups: set[str] = set()  # sent here and not yet answered
+        self.released: dict[str, int] = {}  # sent here since something was heard: all that a mute line ate
+        self.state = b""  # the group's state as last told here
+        self.heard_ns = time.monotonic_ns()
+        self.asked_ns = 0  # when the first set-up left that nothing has been heard after
+        self.behind_ns = 0  # since when another line knows a state that this one does not
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.lost(self, exc)
 
+    def is_mute(self, now_ns: int) -> bool:
+        since_ns = [ns for ns in (self.asked_ns, self.behind_ns, self.half_since_ns) if ns]
+        return bool(since_ns) and now_ns - min(since_ns) > MUTE_NS
+
     def take(self, message: Message) -> None:
         pool, call = self.pool, message.call
         if message.flaw:
             raise MalformedMessageError(message.flaw)
+        self.heard_ns, self.asked_ns = time.monotonic_ns(), 0
+        self.released.clear()
         match message.kind:
             case Kind.ANSWER:
                 # An answer that crossed our give-up is of no call any more: the give-up releases it there.
@@ -92,7 +108,9 @@
                 else:
                     pool.desk.exchange_ended(pool, call, cause, report)
             case Kind.GROUP_STATE:
-                pool.desk.group_state(pool.exchange, self.report(message))
+                report = self.report(message)
+                self.state = message.parameters.get(Code.REPORT, b"")
+                pool.state_came(self, report)
             case Kind.PROGRESS | Kind.RELEASE_HEARD | Kind.TEST_RESULT:
                 pass
             case _:
@@ -113,8 +131,7 @@
 class ExchangePool:
     """The connections to one exchange, keyed by its id: an address may come to belong to another.
 
-    One connection carries every call, and reports the group's state; its number is bounded by one that is
-    open and one that is coming up.
+    Two carry its calls, so that what spoils one leaves the other, and each shows whether the other is mute.
     """
 
     def __init__(self, exchange: str, address: Address, desk: ExchangeDesk, config: Config) -> None:
@@ -122,21 +139,26 @@
         self.report_names, self.dial_ns, self.bounds = config.report_names, config.dial_ns, config.bounds
         self.serving = True
         self.closed = False
-        self.line: ExchangeLine | None = None
+        self.lines: list[ExchangeLine] = []  # the open ones, the first opened first
         self.dialling: asyncio.Task[None] | None = None
         self.redial: asyncio.TimerHandle | None = None
         self.redial_gap_ns = REDIAL_FIRST_NS
         self.connected_at_ns = 0
-        self.lost_at_ns = 0  # when the connection was lost, until the next one is open
+        self.lost_at_ns = 0  # when the last connection was lost, until the next one is open
+        self.swept_ns = 0
         self.queue: dict[str, SetUpOrder] = {}
         self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
 
     @property
     def is_open(self) -> bool:
-        return self.line is not None and self.line.is_open
+        return any(line.is_open for line in self.lines)
+
+    def usable(self) -> list[ExchangeLine]:
+        now = time.monotonic_ns()
+        return [line for line in self.lines if line.is_open and not line.is_mute(now)]
 
     def dial(self) -> None:
-        if self.closed or self.is_open or self.dialling is not None:
+        if self.closed or self.dialling is not None or len(self.lines) >= LINES_MOST:
             return
         if self.redial is not None:
             self.redial.cancel()
@@ -168,12 +190,15 @@
             self.not_connected(failure)
 
     def connected(self, line: ExchangeLine) -> None:
-        self.line, self.lost_at_ns, self.connected_at_ns = line, 0, time.monotonic_ns()
+        self.lines.append(line)
+        self.lost_at_ns, self.connected_at_ns = 0, time.monotonic_ns()
         kept, self.kept = self.kept, {}
         for call, cause in kept.items():
-            self.release(call, cause)
+            self.release(call, cause, line)
         self.flush_queue()
         self.desk.exchange_connected(self)
+        if len(self.lines) < LINES_KEPT:
+            self.dial()
 
     def not_connected(self, failure: str) -> None:
         """What waited for this connection never ran; the next dial waits a while."""
@@ -195,46 +220,81 @@
     def lost(self, line: ExchangeLine, exc: Exception | None) -> None:
         """The set-ups open on a connection end with it, and may have run; the next one is dialled at once."""
         if not self.closed:
-            reason = str(exc) if exc is not None else "closed by the exchange"
+            reason = str(exc) if exc is not None else "closed"
             log.info("connection lost", exchange=self.exchange, reason=reason, set_ups=len(line.set_ups))
+        was_known = line in self.lines
+        if was_known:
+            self.lines.remove(line)
         for call in sorted(line.set_ups):
             self.desk.attempt_ended(call, it.Ending.CUT)
+            # Guards circuits: the exchange may have taken the call as standing, with its answer lost here.
+            line.released[call] = Clear.NORMAL
         line.set_ups.clear()
-        if line is self.line:
-            self.line = None
-            now = time.monotonic_ns()
+        if self.closed or not was_known:
+            return
+        for call, cause in line.released.items():
+            self.release(call, cause)
+        now = time.monotonic_ns()
+        if not self.lines:
             self.lost_at_ns = now
-            if now - self.connected_at_ns > REDIAL_MOST_NS:
-                self.redial_gap_ns = REDIAL_FIRST_NS
-                self.dial()
-            else:  # one that takes connections only to drop them is not dialled without pause
-                self.dial_later()
+        if now - self.connected_at_ns > REDIAL_MOST_NS:
+            self.redial_gap_ns = REDIAL_FIRST_NS
+            self.dial()
+        else:  # one that takes connections only to drop them is not dialled without pause
+            self.dial_later()
+
+    def state_came(self, line: ExchangeLine, report: it.Report | None) -> None:
+        """Every line is told each state: one that does not get what another has got is mute."""
+        line.behind_ns = 0
+        for other in self.lines:
+            if other is not line:
+                other.behind_ns = 0 if other.state == line.state else other.behind_ns or line.heard_ns
+        self.desk.group_state(self.exchange, report)
+
+    def sweep(self, now_ns: int) -> None:
+        """Replace what is mute or has long been quiet; its calls would wait, and their releases be lost."""
+        late, self.swept_ns = now_ns - self.swept_ns > MUTE_NS, now_ns
+        if late or self.closed:
+            return  # we stood still ourselves, and what has come is not read yet
+        mute = [line for line in self.lines if line.is_mute(now_ns)]
+        for line in mute:
+            if len(mute) < len(self.lines):  # else the machine may be cut off: closing proves nothing
+                log.warning("connection is mute, closed", exchange=self.exchange, set_ups=len(line.set_ups))
+                line.abort()
+        quiet = all(now_ns - line.heard_ns > QUIET_NS for line in self.lines)
+        spare = [line for line in self.lines if not line.set_ups]
+        if self.lines and (quiet or len(mute) == len(self.lines)) and self.redial is None:
+            self.dial()
+        elif len(self.lines) > LINES_KEPT and spare:
+            spare[0].close()
 
     def set_up(self, order: SetUpOrder) -> None:
         if self.closed or not self.serving:
             self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
-        elif self.is_open:
-            self.send(order)
+        elif lines := self.usable():
+            self.send(order, min(lines, key=lambda line: len(line.set_ups)))
         elif len(self.queue) >= self.bounds.records:
             self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
         else:
             self.queue[order.call] = order
             self.dial()
 
-    def send(self, order: SetUpOrder) -> None:
+    def send(self, order: SetUpOrder, line: ExchangeLine) -> None:
         # Guards against a set-up that waited here and leaves after its caller's time.
-        left_ms = (order.abandon_at_ns - time.monotonic_ns()) // MS
-        if left_ms <= 0 or self.line is None:
+        now = time.monotonic_ns()
+        left_ms = (order.abandon_at_ns - now) // MS
+        if left_ms <= 0:
             self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
             return
-        self.line.set_ups.add(order.call)
+        line.set_ups.add(order.call)
+        line.asked_ns = line.asked_ns or now
         parameters: dict[int, bytes | str] = {
             Code.CLASS: order.class_name,
             Code.PATIENCE: str(left_ms),
             Code.NUMBER: order.number_called,
             Code.DESCRIPTION: order.description,
         }
-        self.line.write(encode(Kind.SET_UP, order.call, parameters))
+        line.write(encode(Kind.SET_UP, order.call, parameters))
 
     def flush_queue(self) -> None:
         queue, self.queue = self.queue, {}
@@ -245,15 +305,20 @@
         """Give a set-up up; whether it had left, so that it may have run."""
         if self.queue.pop(call, None) is not None:
             return False
-        if self.line is not None and call in self.line.set_ups:
-            self.line.set_ups.discard(call)
-            self.release(call, Clear.NORMAL)
+        for line in self.lines:
+            if call in line.set_ups:
+                line.set_ups.discard(call)
+                self.release(call, Clear.NORMAL, line)  # there, where it can't overtake the set-up
         return True
 
-    def release(self, call: str, cause: int) -> None:
+    def release(self, call: str, cause: int, line: ExchangeLine | None = None) -> None:
         """Release a call there; kept until a connection exists."""
+        line = line or next(iter(self.usable()), None)
         message = encode(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,))})
-        if (self.line is None or not self.line.write(message)) and len(self.kept) < self.bounds.records:
+        if line is not None and line.write(message):
+            if len(line.released) < self.bounds.records:
+                line.released[call] = cause
+        elif len(self.kept) < self.bounds.records:
             self.kept[call] = cause
             self.dial()
 
@@ -267,8 +332,8 @@
         """The exchange is gone: its set-ups end, and nothing more is dialled."""
         self.shut()
         self.flush_queue()
-        if self.line is not None:
-            self.line.abort()
+        for line in list(self.lines):
+            line.abort()
 
     def shut(self) -> None:
         """The end of the program: what has been written still leaves."""
@@ -277,5 +342,5 @@
             self.redial.cancel()
         if self.dialling is not None:
             self.dialling.cancel()
-        if self.line is not None:
-            self.line.close()
+        for line in list(self.lines):
+            line.close()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,18 +4,21 @@
 
 import json
 import os
+import queue
 import signal
 import socket
 import struct
 import subprocess
 import sys
+import threading
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
 from arrowkeel.net.codec import Code, Decoder, Kind, Message, encode
 from arrowkeel.net.config import Clock, Config, read_config
+from arrowkeel.net.exchanges import LINES_KEPT
 
 PATIENCE_S = 20.0  # only a failing test waits so long
 CALL, OTHER = "00000000000000a1", "00000000000000b2"
@@ -77,7 +80,7 @@
         while not self.messages:
             try:
                 data = self.socket.recv(65536)
-            except ConnectionResetError:
+            except OSError:
                 return None
             if not data:
                 return None
@@ -108,11 +111,70 @@
     def accept(self) -> socket.socket:
         return self.socket.accept()[0]
 
-    def exchange(self) -> Peer:
-        """The next connection to this exchange, told the state of its group first as each is."""
-        peer = Peer(self.accept())
-        peer.send(Kind.GROUP_STATE, "0" * 16, STATE)
-        return peer
+
+class Exchange:
+    """A scripted exchange: takes each connection, and tells each the group's state at once and at set-ups."""
+
+    def __init__(self) -> None:
+        self.listener = Listener()
+        self.listener.socket.settimeout(None)
+        self.address = self.listener.address
+        self.lines: list[Peer] = []
+        self.line_of: dict[str, Peer] = {}
+        self.mute: Peer | None = None  # looks open and says nothing
+        self.opened: queue.Queue[Peer] = queue.Queue()
+        self.came: queue.Queue[tuple[Peer, Message]] = queue.Queue()
+        self.ended: queue.Queue[Peer] = queue.Queue()
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        while True:
+            try:
+                line = Peer(self.listener.accept())
+            except OSError:
+                return
+            line.socket.settimeout(None)
+            self.lines.append(line)
+            self.tell(line)
+            self.opened.put(line)
+            threading.Thread(target=self.read, args=(line,), daemon=True).start()
+
+    def tell(self, *lines: Peer) -> None:
+        for line in lines:
+            if line is not self.mute:
+                with suppress(OSError):
+                    line.send(Kind.GROUP_STATE, "0" * 16, STATE)
+
+    def read(self, line: Peer) -> None:
+        while (message := line.receive()) is not None:
+            if message.kind == Kind.SET_UP:
+                self.tell(*self.lines)
+            self.came.put((line, message))
+        self.lines.remove(line)
+        line.socket.close()
+        self.ended.put(line)
+
+    def expect(self, kind: int, call: str = CALL) -> Message:
+        line, message = self.came.get(timeout=PATIENCE_S)
+        assert (message.kind, message.call) == (kind, call), message
+        self.line_of[call] = line
+        return message
+
+    def send(self, kind: int, call: str = CALL, parameters: dict[Any, Any] | None = None) -> None:
+        """On the connection that the call came on, else on any."""
+        line = self.line_of.get(call)
+        (line if line in self.lines and line is not None else self.lines[0]).send(kind, call, parameters)
+
+    def release(self, call: str, cause: int) -> None:
+        self.send(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,))})
+
+    def drop(self, *lines: Peer, reset: bool) -> None:
+        """End connections; the thread that reads closes them once it is told."""
+        for line in lines:
+            if reset:
+                line.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            with suppress(OSError):
+                line.socket.shutdown(socket.SHUT_RD)
 
 
 def instance(identity: str, cell: int, address: str, lifecycle: str = "up") -> dict[str, Any]:
@@ -143,14 +205,14 @@
     """The program as it is started in service, between one exchange, a change log and callers."""
 
     def __init__(self, folder: Path) -> None:
-        self.changelog, self.far = Listener(), Listener()
+        self.changelog, self.exchange = Listener(), Exchange()
         self.config: dict[str, Any] = {
             "name": "n0",
             "listen": "127.0.0.1:0",
             "seed": "8c1f30d27a5be964",
             "limits": LIMITS,
             "changelog": self.changelog.address,
-            "known": {"seq": 1, "results": [event(1, instance("far", 1, self.far.address), reset=True)]},
+            "known": {"seq": 1, "results": [event(1, instance("far", 1, self.exchange.address), reset=True)]},
             "settings": SETTINGS,
         }
         self.path = folder / "config.json"
@@ -172,7 +234,8 @@
         self.listen = (host, int(port))
         self.news = Peer(self.changelog.accept())
         assert self.news.socket.recv(100) == b"since 1\n"
-        self.exchange = self.far.exchange()
+        for _ in range(LINES_KEPT):
+            self.exchange.opened.get(timeout=PATIENCE_S)
 
     def logged(self, text: str) -> str:
         """The next line of the log that has this text."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -14,7 +14,7 @@
 from arrowkeel.net.codec import Code, Kind
 from arrowkeel.net.config import Address
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
-from tests.peers import CALL, OTHER, Listener, Peer, config_of
+from tests.peers import CALL, OTHER, Exchange, Listener, Peer, config_of
 
 
 class Desk:
@@ -100,15 +100,16 @@
 def test_a_process_that_is_lost_and_refuses_has_died(monkeypatch: pytest.MonkeyPatch, end: str) -> None:
     """The list may tell of its end ten seconds late, and its calls are to be released within eight."""
     monkeypatch.setattr(exchanges, "DEAD_AFTER_NS", 0)
-    far = Listener()
+    far = Exchange()
 
     async def story(pool: ExchangePool, desk: Desk) -> None:
         pool.dial()
-        peer = await accepted(far)
-        assert await desk.told.get() == ("connected",)
-        far.socket.close()
-        peer.reset() if end == "reset" else peer.socket.close()
-        assert await desk.told.get() == ("died",)
+        lines = [await asyncio.to_thread(far.opened.get, timeout=20) for _ in range(exchanges.LINES_KEPT)]
+        far.listener.socket.shutdown(socket.SHUT_RDWR)
+        far.listener.socket.close()
+        far.drop(*lines, reset=end == "reset")
+        while await desk.told.get() != ("died",):
+            pass
 
     play(far.address, story)
 
@@ -154,8 +155,8 @@
         pool.dial()
         peer = await accepted(far)
         assert await desk.told.get() == ("connected",)
-        line = pool.line
-        assert line is not None and line.transport is not None
+        line = pool.lines[0]
+        assert line.transport is not None
         most = sent = 0
         while line.write(bytes(16384)):
             most, sent = max(most, line.transport.get_write_buffer_size()), sent + 1
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -16,7 +16,7 @@
 from arrowkeel.net.codec import Clear, Code, Kind
 from arrowkeel.net.config import Clock, read_config
 from arrowkeel.net.controller import Controller
-from tests.peers import CALL, OTHER, Listener, Program, event, instance, running
+from tests.peers import CALL, OTHER, Exchange, Listener, Program, event, instance, running
 
 
 @pytest.fixture
@@ -176,8 +176,8 @@
 
 def test_a_malformed_report_closes_the_exchanges_connection_and_another_comes(program: Program) -> None:
     program.exchange.send(Kind.GROUP_STATE, CALL, {Code.REPORT: "idle:many"})
-    assert program.exchange.receive() is None
-    program.exchange = program.far.exchange()
+    program.exchange.ended.get(timeout=20)
+    program.exchange.opened.get(timeout=20)
     program.standing(program.caller())
 
 
@@ -193,8 +193,9 @@
     first = program.caller()
     program.standing(first)
     first.socket.close()
-    program.exchange.release(OTHER, 16)
     second = program.caller()
+    second.tested()  # by now the first one's end has been read as well
+    program.exchange.release(OTHER, 16)
     second.expect(Kind.RELEASE, OTHER)
     program.exchange.release(CALL, 16)
     assert second.expect(Kind.RELEASE).cause() == 16
@@ -203,28 +204,63 @@
 def test_what_a_gone_exchange_cut_is_released_to_its_caller(program: Program) -> None:
     caller = program.caller()
     program.standing(caller)
-    gone = {**instance("far", 1, program.far.address), "lifecycle": "removed"}
+    gone = {**instance("far", 1, program.exchange.address), "lifecycle": "removed"}
     program.tell(event(2, gone))
     assert caller.expect(Kind.RELEASE).cause() == 41
-    assert program.exchange.receive() is None
+    assert program.exchange.ended.get(timeout=20)
 
 
 def test_a_lost_connection_ends_its_set_ups_and_is_opened_again(program: Program) -> None:
     caller = program.caller()
     caller.set_up()
     program.exchange.expect(Kind.SET_UP)
-    program.exchange.reset()
-    program.exchange = program.far.exchange()
+    program.exchange.drop(program.exchange.line_of[CALL], reset=True)
+    program.exchange.expect(Kind.RELEASE)  # in case it stood, and the answer was lost
     program.exchange.expect(Kind.SET_UP)  # the module's further attempt, once the release has been awaited
     program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
     caller.expect(Kind.ANSWER)
 
 
+def test_a_mute_connection_is_replaced_and_its_calls_and_releases_saved(program: Program) -> None:
+    """A connection may say nothing more and stay open: its set-ups would time out, its releases be lost."""
+    caller, exchange = program.caller(), program.exchange
+    program.standing(caller)
+    exchange.mute = exchange.line_of[CALL]
+    caller.set_up(OTHER)
+    caller.set_up("00000000000000c3")  # the other connection carries one of the two
+    sent = [exchange.came.get(timeout=20) for _ in range(2)]
+    assert {line for line, _ in sent} == set(exchange.lines)
+    (lost,) = [message.call for line, message in sent if line is exchange.mute]
+    assert exchange.ended.get(timeout=20) is exchange.mute
+    exchange.opened.get(timeout=20)
+    exchange.expect(Kind.RELEASE, lost)
+    exchange.expect(Kind.SET_UP, lost)
+    exchange.send(Kind.ANSWER, lost, {Code.DESCRIPTION: b"answer"})
+    caller.expect(Kind.ANSWER, lost)
+    exchange.release(CALL, 16)  # as exchanges do on the next connection that opens
+    caller.expect(Kind.RELEASE)
+
+
+def test_a_spoilt_answer_ends_the_set_ups_of_its_connection_only(program: Program) -> None:
+    caller, exchange = program.caller(), program.exchange
+    caller.set_up()
+    caller.set_up(OTHER)
+    (spoilt, first), (good, second) = (exchange.came.get(timeout=20) for _ in range(2))
+    assert spoilt is not good
+    spoilt.socket.sendall(b"\xff" * 100)
+    exchange.expect(Kind.RELEASE, first.call)
+    good.send(Kind.ANSWER, second.call, {Code.DESCRIPTION: b"answer"})
+    caller.expect(Kind.ANSWER, second.call)
+    exchange.expect(Kind.SET_UP, first.call)
+    exchange.send(Kind.ANSWER, first.call, {Code.DESCRIPTION: b"answer"})
+    caller.expect(Kind.ANSWER, first.call)
+
+
 def test_the_change_log_is_followed_in_order_and_taken_up_where_it_broke(program: Program) -> None:
-    near = Listener()
+    near = Exchange()
     program.tell({"seq": 1}, event(1, instance("far", 1, "127.0.0.1:1", "removed")))  # a duplicate
     program.tell(event(2, instance("near", 2, near.address)))
-    exchange = near.exchange()
+    near.opened.get(timeout=20)
     program.news.socket.sendall(b"{not json\n")
     program.logged("malformed change-log line")
     program.news.socket = program.changelog.accept()
@@ -233,9 +269,8 @@
     program.logged("malformed change-log line")
     again = program.changelog.accept()
     assert again.recv(100) == b"since 2\n"
-    program.exchange, caller = exchange, program.caller()
-    caller.set_up(dest=2)
-    exchange.expect(Kind.SET_UP)
+    program.caller().set_up(dest=2)
+    near.expect(Kind.SET_UP)
 
 
 def test_sigterm_lets_open_calls_finish_and_takes_more_on_open_connections(program: Program) -> None:
@@ -254,7 +289,7 @@
 
 
 def test_a_new_configuration_moves_the_change_log_and_a_bad_one_changes_nothing(program: Program) -> None:
-    caller, moved, near = program.caller(), Listener(), Listener()
+    caller, moved, near = program.caller(), Listener(), Exchange()
     program.standing(caller)
     program.config["changelog"] = moved.address
     program.path.write_text(json.dumps(program.config))
@@ -262,7 +297,7 @@
     program.news.socket = moved.accept()
     assert program.news.socket.recv(100) == b"since 1\n"
     program.tell(event(2, instance("near", 2, near.address)))
-    near.exchange()
+    near.opened.get(timeout=20)
     for spoilt in ('{"name":', '{"limits": []}'):
         program.path.write_text(spoilt)
         program.process.send_signal(signal.SIGHUP)
