Call off set-ups that later ones have overtaken and send them again

Probe, events and actions printed: two of the three exchanges answer two thirds of their set-ups within 50 to 140 ms and the rest never, alike for every class, number and connection. Module: on_stood dropped what had been overtaken from pending and left the call to sit out its caller's time.

Now such a call is called off and sent again after its release: where neither processor is pressed, longer overtaken than the usual delay, by three later ones, and while the caller still waits. Releases for callers whose line is gone go to the line that called last, not to the oldest.

Without the change the new module test fails.

--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -366,11 +366,15 @@
             self.kept_for_exchanges[call] = cause
 
     def release_to_caller(self, call: str, cause: int, line: CallerLine | None) -> None:
-        """On the line that asked while it is open, else on any; kept until there is one."""
+        """On the line that asked while it is open, else on another; kept until there is one.
+
+        Guards against a release that only a silent or bad client gets: lines that call most come first.
+        """
         if line is not None and line.is_open and line.release(call, cause):
             return
-        for other in self.lines:
-            if other.is_open and other.release(call, cause):
+        others = [other for other in self.lines if other.is_open]
+        for other in sorted(others, key=lambda other: (other.taken > 0, other.heard_at_ns), reverse=True):
+            if other.release(call, cause):
                 return
         if len(self.kept_for_callers) < self.config.bounds.records:
             self.kept_for_callers[call] = cause
--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -34,6 +34,7 @@
 WEIGHT_UNTRIED, CANDIDATES = 0.1, 8  # far below a proven one; a draw looks at so many untried tandems
 TURN_BACK_BAR_NS, MOST_TANDEMS = S, 2  # rest after a turn-back, over the weight; tries cost two ends
 ADVICE_SHARE = 1.0  # an advised tandem counts as much as this times all others looked at
+LOST_NS, LOST_BEHIND = S // 20, 2  # overtaken so long ago, and by so many more since: no answer is coming
 TICK_NS, STALL_NS = S // 40, S // 10  # held calls are looked at; a timer so late means that we stood still
 TRIAL_GAP_NS = PROBE_GAP_NS = S  # between trial calls to a silent far end; probes, where they alone report
 HOLD_SHARE, SILENT_SHARE = 0.7, 0.6  # of the aim: a call may be held, the rest is for its set-up; silence
@@ -175,6 +176,7 @@
         self.far, self.watched = dict[str, Far](), dict[str, Far]()  # watched: with news, to be judged
         self.by_number: dict[int, Far] = {}
         self.calls, self.held = dict[str, Call](), dict[str, Call]()
+        self.overtaken = dict[str, int]()  # set-ups that a later one has overtaken, and when
         self.busy = GrowingGaps(BUSY_GAP_NS, BUSY_GAP_MOST_NS)
         self.asked = FirstTimes(settings.longest_give_up_ns)
         self.numbers: list[int] = []
@@ -448,7 +450,7 @@
             return
         far, dest = call.out, self.by_number.get(call.event.destination, call.out)
         if far is dest:  # what it has overtaken is lost, not slow
-            far.cpu.pending.overtaken_by(call.id)
+            self.overtaken.update((lost, now) for lost in far.cpu.pending.overtaken_by(call.id))
         self.forget(call.id)
         far.cpu.done.add(now)
         self.own.done.add(now)
@@ -474,6 +476,7 @@
         if call is None or call.out is None or event.attempt != call.attempts - 1:
             return
         sent_to, call.out = call.out, None
+        self.overtaken.pop(call.id, None)
         sent_to.cpu.pending.drop(call.id)
         self.learn_ending(call, sent_to, event, now)
         if event.call_over:
@@ -509,6 +512,24 @@
             if far is not dest:
                 self.weigh(dest, far, now, stood=False)
 
+    def call_off_lost(self, now: int) -> None:
+        """A quick processor serves in turn: what later set-ups overtook is lost, and goes again in time.
+
+        Against one that leaves a share unanswered. Pressed ones take no turns, and can't bear the work twice.
+        """
+        for call_id, at in list(self.overtaken.items()):
+            call = self.calls.get(call_id)
+            if call is None or call.out is None or call.out.number != call.event.destination:
+                del self.overtaken[call_id]  # behind a tandem there is another queue
+            elif not self.pressed(call.out) and self.is_lost(call.out.cpu, now - at, now):
+                del self.overtaken[call_id]
+                again = now + self.settings.release_ns + int(max(0.0, call.out.cpu.delay)) < call.ends
+                if again and self.settings.may_cancel and call.attempts < self.settings.attempt_limit:
+                    self.out.append(it.CancelAttempt(call.id, call.attempts - 1))
+
+    def is_lost(self, cpu: Processor, since: int, now: int) -> bool:
+        return since > max(LOST_NS, cpu.delay) and cpu.done.count(now, since) >= LOST_BEHIND
+
     def spread(self) -> float:  # gaps are drawn around their middle, so that agents do not act in step
         return 0.75 + 0.5 * self.random.random()
 
@@ -522,6 +543,7 @@
             self.ask_at = now + self.settings.list_age_limit_ns // 2
             self.out.append(it.FollowList())
         self.judge(now)
+        self.call_off_lost(now)
         for call in sorted(self.held.values(), key=lambda c: (-c.worth, c.hold_until)):
             del self.held[call.id]
             self.decide(call, now)
--- a/arrowkeel/state.py
+++ b/arrowkeel/state.py
@@ -24,6 +24,7 @@
     def add(self, now: int) -> None:
         self.first = now if self.first is None else self.first
         self.moments.append(now)
+        self.count(now)  # forgets here too: on calm days nobody asks, and a long day would fill the memory
 
     def rate(self, now: int) -> float:
         """Moments a second over the span, or since the first one if that is not so long ago."""
@@ -70,10 +71,14 @@
     def drop(self, call: str) -> None:
         self.sent.pop(call, None)
 
-    def overtaken_by(self, call: str) -> None:
-        """Drops that call and all that were sent before it."""
-        if (sent_at := self.sent.get(call)) is not None:
-            self.sent = {other: at for other, at in self.sent.items() if at >= sent_at and other != call}
+    def overtaken_by(self, call: str) -> list[str]:
+        """Drops that call and all that were sent before it; the latter are what it has overtaken."""
+        if (sent_at := self.sent.get(call)) is None:
+            return []
+        overtaken = [other for other, at in self.sent.items() if at < sent_at]
+        for other in (call, *overtaken):
+            del self.sent[other]
+        return overtaken
 
     def restart(self, now: int) -> None:
         """Counts all as sent just now."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -7,6 +7,7 @@
 import pytest
 
 from arrowkeel import interface as it
+from arrowkeel.state import Times
 from tests.conftest import MS, SETTINGS, Desk, S, answers, sent
 
 
@@ -293,3 +294,48 @@
                 desk.stand(action.call, "x2", delay_ms=30)
                 desk.circuits("x2", 20)
     assert went > 25, "of 60 a second a fifth is 12, for nearly three seconds"
+
+
+def overtaken(desk: Desk, turn: str = "") -> tuple[str, list[it.Action]]:
+    """A set-up to x2 that stays without an answer while the next ones stand, and what is done by then."""
+    if turn:
+        desk.circuits("x2", 0)
+    lost, actions = desk.offer(2)
+    assert not turn or sent(actions, lost) != ["x2"]
+    desk.circuits("x2", 20)
+    for _ in range(3):
+        desk.wait(25)
+        next_one, _ = desk.offer(2)
+        desk.wait(25)
+        desk.stand(next_one, "x2")
+    return lost, []
+
+
+def test_a_set_up_that_a_later_one_overtook_is_called_off_and_goes_again() -> None:
+    """A processor may answer two thirds at once and the rest never: those used to sit out their time."""
+    desk = Desk(replace(SETTINGS, may_cancel=True))
+    lost, actions = overtaken(desk)
+    actions += desk.wait(75)
+    assert [a for a in actions if not isinstance(a, it.SetTimer)] == [it.CancelAttempt(lost, 0)]
+    desk.end(lost, "x2", it.Ending.CALLED_OFF)
+    assert not sent(desk.wait(375), lost) and sent(desk.wait(75), lost) == ["x2"]
+
+
+@pytest.mark.parametrize("why", ["answered after all", "behind a tandem", "too late to go again", "barred"])
+def test_nothing_else_is_called_off(why: str) -> None:
+    desk = Desk(replace(SETTINGS, may_cancel=why != "barred"))
+    lost, actions = overtaken(desk, "tandem" if why == "behind a tandem" else "")
+    if why == "answered after all":
+        desk.stand(lost, "x2")
+    if why == "too late to go again":
+        desk.now += 2500 * MS
+    actions += desk.wait(100)
+    assert not [a for a in actions if isinstance(a, it.CancelAttempt)]
+
+
+def test_moments_are_forgotten_also_when_nobody_counts_them() -> None:
+    """A long calm day would else fill the memory with the times of calls that stood."""
+    times = Times(10 * S)
+    for second in range(100):
+        times.add(second * S)
+    assert len(times.moments) <= 10
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -201,6 +201,16 @@
     assert second.expect(Kind.RELEASE).cause() == 16
 
 
+def test_a_release_goes_to_a_caller_that_calls_rather_than_to_a_silent_one(program: Program) -> None:
+    silent, first, usual = program.caller(), program.caller(), program.caller()
+    program.standing(first)
+    program.standing(usual, OTHER)
+    first.socket.close()
+    silent.tested()  # by now the first one's end has been read as well
+    program.exchange.release(CALL, 16)
+    usual.expect(Kind.RELEASE)
+
+
 def test_what_a_gone_exchange_cut_is_released_to_its_caller(program: Program) -> None:
     caller = program.caller()
     program.standing(caller)
