Do not send a release again once its call has been sent again

With it, from reading again: each state is told to the module once, not once a connection; not sent means a full group only with that cause; an address that cannot be listened on and a figure that overflows end the start in one sentence.

Ruled out: callers' lines, where nothing was written or lost at these times.

--- a/arrowkeel/__main__.py
+++ b/arrowkeel/__main__.py
@@ -45,7 +45,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, controller.stop)
     loop.add_signal_handler(signal.SIGHUP, reload, controller)
-    await controller.start()
+    try:
+        await controller.start()
+    except OSError as error:
+        raise ConfigError(f"listen: {error}") from None
     log.info("started", name=config.name, listen=controller.listening)
     await controller.finished
     await controller.finish()
@@ -65,11 +68,10 @@
         cache_logger_on_first_use=True,
     )
     try:
-        config = load(Clock.now())
+        uvloop.run(serve(load(Clock.now())))
     except ConfigError as error:
         print(f"arrowkeel cannot start: {error}", file=sys.stderr)
         return 2
-    uvloop.run(serve(config))
     return 0
 
 
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -167,7 +167,7 @@
 def read_config(text: str, clock: Clock) -> Config:
     try:
         raw = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise ConfigError(f"configuration: not JSON ({error})") from None
     if not isinstance(raw, dict):
         raise ConfigError("configuration: not an object")
@@ -189,7 +189,7 @@
         raise ConfigError(f"known.results: {error}") from None
     try:
         read, names = wire.read_settings(json.dumps(settings))
-    except wire.MalformedError as error:
+    except (wire.MalformedError, OverflowError) as error:
         raise ConfigError(f"settings: {error}") from None
     allowed = field_of(settings, "permissions", dict, "settings.")
     return Config(
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -146,6 +146,7 @@
         self.connected_at_ns = 0
         self.lost_at_ns = 0  # when the last connection was lost, until the next one is open
         self.swept_ns = 0
+        self.told_state: bytes | None = None  # the group's state as the module was last told
         self.queue: dict[str, SetUpOrder] = {}
         self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
 
@@ -237,6 +238,8 @@
         now = time.monotonic_ns()
         if not self.lines:
             self.lost_at_ns = now
+        if len(self.lines) >= LINES_KEPT:
+            return  # one more than are kept, closed by us
         if now - self.connected_at_ns > REDIAL_MOST_NS:
             self.redial_gap_ns = REDIAL_FIRST_NS
             self.dial()
@@ -244,12 +247,17 @@
             self.dial_later()
 
     def state_came(self, line: ExchangeLine, report: it.Report | None) -> None:
-        """Every line is told each state: one that does not get what another has got is mute."""
+        """Every line is told each state: one that does not get what another has got is mute.
+
+        The module hears it once. A second copy would undo what it has counted off for set-ups sent since.
+        """
         line.behind_ns = 0
         for other in self.lines:
             if other is not line:
                 other.behind_ns = 0 if other.state == line.state else other.behind_ns or line.heard_ns
-        self.desk.group_state(self.exchange, report)
+        if line.state != self.told_state:
+            self.told_state = line.state
+            self.desk.group_state(self.exchange, report)
 
     def sweep(self, now_ns: int) -> None:
         """Replace what is mute or has long been quiet; its calls would wait, and their releases be lost."""
@@ -286,6 +294,10 @@
         if left_ms <= 0:
             self.desk.attempt_ended(order.call, it.Ending.NOT_SENT)
             return
+        # Guards the call that stands next: a release of its last attempt must not be sent again after this.
+        self.kept.pop(order.call, None)
+        for other in self.lines:
+            other.released.pop(order.call, None)
         line.set_ups.add(order.call)
         line.asked_ns = line.asked_ns or now
         parameters: dict[int, bytes | str] = {
--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -497,8 +497,8 @@
                 cpu.miss(now, self.spread())
         elif event.ending is it.Ending.NOT_SENT and event.cause is it.Cause.PROCESSOR_FULL:
             call.not_before = now + TRIAL_GAP_NS  # the own processor is down
-        elif event.ending is it.Ending.NOT_SENT:
-            far.free = 0
+        elif event.ending is it.Ending.NOT_SENT and event.cause is it.Cause.NO_CIRCUIT:
+            far.free = 0  # not where it came too late or the exchange drains: the group has not changed
         elif event.ending is it.Ending.NUMBER_BUSY:
             cpu.hear(now)
             if event.cause is it.Cause.LINES_BUSY:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -333,6 +333,15 @@
     assert not [a for a in actions if isinstance(a, it.CancelAttempt)]
 
 
+@pytest.mark.parametrize(("cause", "room"), [(it.Cause.UNSAID, True), (it.Cause.NO_CIRCUIT, False)])
+def test_what_left_too_late_says_nothing_of_the_group(cause: it.Cause, room: bool) -> None:
+    """On sockets a set-up that waited past its time is not sent either; the group has room as before."""
+    desk = Desk()
+    call, _ = desk.offer(2)
+    desk.end(call, "x2", it.Ending.NOT_SENT, cause)
+    assert (sent(desk.offer(2)[1]) == ["x2"]) is room
+
+
 def test_moments_are_forgotten_also_when_nobody_counts_them() -> None:
     """A long calm day would else fill the memory with the times of calls that stood."""
     times = Times(10 * S)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -114,6 +115,72 @@
     play(far.address, story)
 
 
+def test_a_state_that_each_connection_brings_is_told_once() -> None:
+    """The second copy would undo what the module has counted off for the set-ups it has sent since."""
+    far = Exchange()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.dial()
+        lines = [await asyncio.to_thread(far.opened.get, timeout=20) for _ in range(exchanges.LINES_KEPT)]
+        for line in lines:
+            line.send(Kind.GROUP_STATE, "0" * 16, {Code.REPORT: "idle:7;circuits:60"})
+            line.release(OTHER, 16)
+        told: list[tuple[Any, ...]] = []
+        while told.count(("released", OTHER, 16)) < len(lines):
+            told.append(await desk.told.get())
+        assert [fact[1] for fact in told if fact[0] == "state"] == [it.Report(40, 60), it.Report(7, 60)]
+
+    play(far.address, story)
+
+
+async def swept(pool: ExchangePool, until: Callable[[], bool]) -> None:
+    while not until():
+        pool.sweep(time.monotonic_ns())
+        await asyncio.sleep(0.01)
+
+
+def test_a_release_that_a_mute_connection_ate_does_not_end_the_next_attempt() -> None:
+    """The call had been given up there and stood on another: the release sent again cut it untold."""
+    far, third = Exchange(), "00000000000000c3"
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.dial()
+        await swept(pool, lambda: len(pool.lines) == exchanges.LINES_KEPT)
+        first, second = pool.lines
+        for call in (CALL, OTHER, third):
+            pool.set_up(order(call))
+        assert first.set_ups == {CALL, third}
+        pool.give_up(CALL)
+        second.set_ups.clear()
+        pool.set_up(order(CALL))
+        assert second.set_ups == {CALL}
+        first.asked_ns = 1  # mute since long ago
+        await swept(pool, lambda: first not in pool.lines)
+        pool.release("f" * 16, 16)
+        came: list[tuple[int, str]] = []
+        while not came or came[-1] != (Kind.RELEASE, "f" * 16):
+            _, message = await asyncio.to_thread(far.came.get, timeout=20)
+            came.append((message.kind, message.call))
+        assert came.count((Kind.RELEASE, CALL)) == 1 and (Kind.RELEASE, third) in came
+
+    play(far.address, story)
+
+
+def test_a_connection_more_than_are_kept_is_closed_and_not_dialled_again() -> None:
+    far = Exchange()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.dial()
+        await swept(pool, lambda: len(pool.lines) == exchanges.LINES_KEPT)
+        pool.dial()
+        await swept(pool, lambda: len(pool.lines) > exchanges.LINES_KEPT)
+        pool.connected_at_ns = 0  # long ago
+        await swept(pool, lambda: len(pool.lines) == exchanges.LINES_KEPT)
+        assert pool.dialling is None and pool.redial is None
+
+    play(far.address, story)
+
+
 @pytest.mark.parametrize(
     ("cause", "note", "wanted"),
     [
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -16,7 +16,7 @@
 from arrowkeel.net.codec import Clear, Code, Kind
 from arrowkeel.net.config import Clock, read_config
 from arrowkeel.net.controller import Controller
-from tests.peers import CALL, OTHER, Exchange, Listener, Program, event, instance, running
+from tests.peers import CALL, OTHER, SETTINGS, Exchange, Listener, Program, event, instance, running
 
 
 @pytest.fixture
@@ -342,6 +342,8 @@
     ("changes", "named"),
     [
         ({"listen": "nowhere"}, "listen"),
+        ({"listen": "taken"}, "listen"),
+        ({"settings": {**SETTINGS, "classes": [{**SETTINGS["classes"][0], "onTimeNs": 1e999}]}}, "settings"),
         ({"seed": "xyz"}, "seed"),
         ({"limits": {}}, "limits.sockets"),
         ({"settings": {"permissions": {}}}, "classes"),
@@ -353,6 +355,8 @@
 ) -> None:
     program = Program(tmp_path)
     program.config.update(changes)
+    if changes.get("listen") == "taken":
+        program.config["listen"] = program.changelog.address
     process = program.launch()
     said, _ = process.communicate(timeout=20)
     assert process.returncode == 2 and said.count("\n") == 1 and named in said
