Try a call again after an error that is no busy number

Now an error without that note is tried again at once within the attempts allowed (rule 5 asks no release for an error, the classes may be repeated), then refused with advice; met through a tandem it counts as a turn-back.

Ruled out: one bad connection (errors on both alike), our own messages (the same forms are answered 22 times in 100). The new module test fails without the change.

--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -481,8 +481,8 @@
         self.learn_ending(call, sent_to, event, now)
         if event.call_over:
             self.forget(call.id)
-        elif event.ending in (it.Ending.COMPLETED, it.Ending.NUMBER_BUSY) or now >= call.ends:
-            self.forget(call.id, it.Fail(call.id))
+        elif event.ending is it.Ending.COMPLETED or event.cause is it.Cause.LINES_BUSY or now >= call.ends:
+            self.forget(call.id, it.Fail(call.id))  # another error is a signalling fault: it goes again
         else:
             if event.ending in (it.Ending.NO_ANSWER, it.Ending.CUT, it.Ending.CALLED_OFF):
                 call.not_before = now + self.settings.release_ns  # rule 5: the release is awaited
@@ -503,6 +503,8 @@
             cpu.hear(now)
             if event.cause is it.Cause.LINES_BUSY:
                 self.busy.shut_again(call.event.number_called, now, self.spread())
+            elif far is not dest:
+                self.weigh(dest, far, now, stood=False)
         elif event.ending is it.Ending.TURNED_AWAY:
             cpu.hear(now)
             if event.cause in (it.Cause.PROCESSOR_FULL, it.Cause.BEYOND_FULL):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -342,6 +342,19 @@
     assert (sent(desk.offer(2)[1]) == ["x2"]) is room
 
 
+def test_a_fault_of_the_signalling_is_tried_again_and_a_busy_number_is_not() -> None:
+    """Incident raa7010: an exchange ended four in five set-ups in errors at once, and the calls failed."""
+    desk = Desk(replace(SETTINGS, attempt_limit=3))
+    call, actions = desk.offer(2)
+    for attempt in range(3):
+        assert sent(actions, call) == ["x2"]
+        actions = desk.end(call, "x2", it.Ending.NUMBER_BUSY, attempt=attempt)
+    assert answers(actions, call) == [it.Refuse(call, SETTINGS.longest_advice_ns)]
+    call, _ = desk.offer(2)
+    actions = desk.end(call, "x2", it.Ending.NUMBER_BUSY, it.Cause.LINES_BUSY)
+    assert answers(actions, call) == [it.Fail(call)]
+
+
 def test_moments_are_forgotten_also_when_nobody_counts_them() -> None:
     """A long calm day would else fill the memory with the times of calls that stood."""
     times = Times(10 * S)
