--- /dev/null
+++ b/arrowkeel/net/callerlines.py
@@ -0,0 +1,70 @@
+"""The table of callers' connections: who may stay, and which of them carries a release."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from arrowkeel.net.callers import CallerLine
+from arrowkeel.net.config import Bounds
+from arrowkeel.net.line import log
+
+
+class CallerLines:
+    """Every connection from callers that is not lost yet, and the releases that wait for one."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds = bounds
+        self.lines: dict[CallerLine, None] = {}
+        self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
+
+    def connected(self, line: CallerLine) -> None:
+        if len(self.lines) >= self.bounds.lines and not self.shed():
+            log.warning("no idle connection from callers, the newest closed", open=len(self.lines))
+            line.abort()
+            return
+        self.lines[line] = None
+        kept, self.kept = self.kept, {}
+        for call, cause in kept.items():
+            self.release(call, cause, line)
+
+    def lost(self, line: CallerLine) -> None:
+        self.lines.pop(line, None)
+
+    def shed(self) -> bool:
+        """Make room: the one that never sent a set-up goes first, then the one that was idle for longest.
+
+        Guards usual callers, whose connection is the newest, against those that connect and say no more.
+        """
+        idle = (line for line in self.lines if line.is_open and not line.open_calls)
+        line = min(idle, key=lambda line: (line.taken > 0, line.heard_at_ns), default=None)
+        if line is None:
+            return False
+        log.warning("many connections from callers, an idle one closed", open=len(self.lines))
+        line.close()
+        return True
+
+    def sweep(self, now_ns: int) -> None:
+        for line in list(self.lines):
+            line.sweep(now_ns)
+
+    def release(self, call: str, cause: int, line: CallerLine | None) -> None:
+        """On the line that asked while it is open, else on another; kept until there is one.
+
+        Guards against a release that only a silent or bad client gets: lines that call most come first.
+        """
+        if line is not None and line.is_open and line.release(call, cause):
+            return
+        others = [other for other in self.lines if other.is_open]
+        for other in sorted(others, key=lambda other: (other.taken > 0, other.heard_at_ns), reverse=True):
+            if other.release(call, cause):
+                return
+        if len(self.kept) < self.bounds.records:
+            self.kept[call] = cause
+
+    async def close(self, until_ns: int) -> None:
+        """The last answers leave before the connections close."""
+        for line in self.lines:
+            line.close()
+        while self.lines and time.monotonic_ns() < until_ns:
+            await asyncio.sleep(0.005)
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -11,12 +11,12 @@
 
 from arrowkeel import interface as it
 from arrowkeel.drill import Known
+from arrowkeel.net.callerlines import CallerLines
 from arrowkeel.net.callers import CallerLine, Offer
 from arrowkeel.net.changelog import ChangeLog
 from arrowkeel.net.codec import Clear
 from arrowkeel.net.config import MS, Config, News
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
-from arrowkeel.net.line import log as sparse
 from arrowkeel.policy import Policy
 
 ACCEPT_NS = 700 * MS  # after SIGTERM calls go on coming for so long
@@ -52,11 +52,10 @@
         self.open_calls = 0
         self.described = 0  # bytes of descriptions held
         self.ended = Known(config.bounds.records)  # what crosses a call's end, or comes twice, is of none
-        self.lines: dict[CallerLine, None] = {}
+        self.lines = CallerLines(config.bounds)
         self.pools: dict[str, ExchangePool] = {}
         self.started: dict[str, int] = {}
         self.stood_at: dict[str, set[str]] = {}  # calls standing at each exchange
-        self.kept_for_callers: dict[str, int] = {}
         self.kept_for_exchanges: dict[str, int] = {}
         self.events: list[it.Event] = []
         self.turn_due = False
@@ -88,8 +87,8 @@
         for pool in self.pools.values():
             pool.sweep(now)
         self.sweeps = (self.sweeps + 1) % SWEEPS
-        for line in list(self.lines) if not self.sweeps else ():
-            line.sweep(now)
+        if not self.sweeps:
+            self.lines.sweep(now)
         self.loop.call_later(SWEEP_NS / 1e9, self.sweep)
 
     @property
@@ -107,6 +106,7 @@
         kept = ("name", "listen", "seed", "settings", "report_names")
         later = [name for name in kept if getattr(config, name) != getattr(old, name)]
         self.config = replace(config, **{name: getattr(old, name) for name in kept})
+        self.lines.bounds = config.bounds
         log.info("configuration taken", changelog=str(config.changelog), from_next_start=later)
         for news in config.known:
             if news.complete or news.seq == self.changelog.last + 1:
@@ -133,13 +133,8 @@
             self.loop.call_later(0.01, self.finish_if_due)
 
     async def finish(self) -> None:
-        """The last answers leave before the connections close."""
         self.changelog.stop()
-        until_ns = time.monotonic_ns() + FLUSH_NS
-        for line in self.lines:
-            line.close()
-        while self.lines and time.monotonic_ns() < until_ns:
-            await asyncio.sleep(0.005)
+        await self.lines.close(time.monotonic_ns() + FLUSH_NS)
         for pool in self.pools.values():
             pool.shut()
         await asyncio.sleep(0.005)
@@ -270,27 +265,7 @@
     # From callers
 
     def caller_connected(self, line: CallerLine) -> None:
-        if len(self.lines) >= self.config.bounds.lines and not self.shed_a_line():
-            sparse.warning("no idle connection from callers, the newest closed", open=len(self.lines))
-            line.abort()
-            return
-        self.lines[line] = None
-        kept, self.kept_for_callers = self.kept_for_callers, {}
-        for call, cause in kept.items():
-            self.release_to_caller(call, cause, line)
-
-    def shed_a_line(self) -> bool:
-        """Make room: the one that never sent a set-up goes first, then the one that was idle for longest.
-
-        Guards usual callers, whose connection is the newest, against those that connect and say no more.
-        """
-        idle = (line for line in self.lines if line.is_open and not line.open_calls)
-        line = min(idle, key=lambda line: (line.taken > 0, line.heard_at_ns), default=None)
-        if line is None:
-            return False
-        sparse.warning("many connections from callers, an idle one closed", open=len(self.lines))
-        line.close()
-        return True
+        self.lines.connected(line)
 
     def caller_broke(self, line: CallerLine, call: str) -> None:
         """A call whose caller can't go on with it: its one final answer, and nothing stays out for it."""
@@ -298,7 +273,7 @@
         line.fail(call)
 
     def caller_lost(self, line: CallerLine) -> None:
-        self.lines.pop(line, None)
+        self.lines.lost(line)
         for call in sorted(line.open_calls):
             self.caller_ended(call, Clear.NORMAL)
 
@@ -365,20 +340,6 @@
         elif len(self.kept_for_exchanges) < self.config.bounds.records:
             self.kept_for_exchanges[call] = cause
 
-    def release_to_caller(self, call: str, cause: int, line: CallerLine | None) -> None:
-        """On the line that asked while it is open, else on another; kept until there is one.
-
-        Guards against a release that only a silent or bad client gets: lines that call most come first.
-        """
-        if line is not None and line.is_open and line.release(call, cause):
-            return
-        others = [other for other in self.lines if other.is_open]
-        for other in sorted(others, key=lambda other: (other.taken > 0, other.heard_at_ns), reverse=True):
-            if other.release(call, cause):
-                return
-        if len(self.kept_for_callers) < self.config.bounds.records:
-            self.kept_for_callers[call] = cause
-
     # From exchanges
 
     def outcome(
@@ -429,12 +390,12 @@
         if record is None:
             if call not in self.ended:
                 self.ended.add(call)
-                self.release_to_caller(call, cause, None)
+                self.lines.release(call, cause, None)
         elif record.stood_ns and record.pool is pool:
             ending = it.Ending.COMPLETED if cause == Clear.NORMAL else it.Ending.CUT
             outcome = self.outcome(call, record, record.attempts - 1, ending, over=True)
             self.end(call)
-            self.release_to_caller(call, cause, record.line)
+            self.lines.release(call, cause, record.line)
             self.tell(replace(outcome, report=report))
 
     def group_state(self, exchange: str, report: it.Report | None) -> None:
