Add the operators' door, standby, and a process that follows another on one socket

Design. service.py takes the process's life out of controller.py (listening, readiness, standby, end); door.py is one HTTP call a connection (httptools), figures.py plain counts. The listening socket of LB_ACCEPT_FD is the platform's: on SIGTERM it is given up at once, so what connects waits there for the follower. Not taken: passing sockets or state between the processes, which a killed one could not do; refusing set-ups as soon as standby is asked, which fails calls for nothing.

At the share of descriptors connections with unread bytes stay, and the backlog no longer makes a crowd's callers wait.

Each story in test_service.py fails without its part.

--- a/arrowkeel/__main__.py
+++ b/arrowkeel/__main__.py
@@ -14,7 +14,7 @@
 
 from arrowkeel.net.config import Clock, Config, ConfigError, read_config
 from arrowkeel.net.controller import Controller
-from arrowkeel.policy import Policy
+from arrowkeel.net.service import Service
 
 
 def load(clock: Clock) -> Config:
@@ -25,7 +25,7 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"LB_CONFIG: {error}") from None
-    return read_config(text, clock)
+    return read_config(text, clock, os.environ)
 
 
 def reload(controller: Controller) -> None:
@@ -40,18 +40,15 @@
 
 async def serve(config: Config) -> None:
     log = structlog.get_logger()
-    controller = Controller(config, Policy(config.settings, config.seed))
+    service = Service(config)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, controller.stop)
-    loop.add_signal_handler(signal.SIGHUP, reload, controller)
-    try:
-        await controller.start()
-    except OSError as error:
-        raise ConfigError(f"listen: {error}") from None
-    log.info("started", name=config.name, listen=controller.listening)
-    await controller.finished
-    await controller.finish()
+        loop.add_signal_handler(number, service.stop)
+    loop.add_signal_handler(signal.SIGHUP, reload, service.controller)
+    await service.start()
+    log.info("started", name=config.name, listen=service.listening, operator=service.door.listening)
+    await service.finished
+    await service.finish()
     log.info("stopped")
 
 
--- a/arrowkeel/net/callerlines.py
+++ b/arrowkeel/net/callerlines.py
@@ -6,9 +6,14 @@
 import time
 
 from arrowkeel.net.callers import CallerLine
-from arrowkeel.net.config import Bounds
+from arrowkeel.net.config import MS, Bounds
 from arrowkeel.net.line import log
 
+# While connections are to go: how long an idle one stays, since its next set-up may be on its way and new
+# ones still come; and when set-ups on those that are never idle are turned away.
+LEAVE_NS, TURN_AWAY_NS = 300 * MS, 1500 * MS
+HALF_CREDIT_NS = 500 * MS  # half a message is worth more than silence when room has to be made
+
 
 class CallerLines:
     """Every connection from callers that is not lost yet, and the releases that wait for one."""
@@ -17,6 +22,7 @@
         self.bounds = bounds
         self.lines: dict[CallerLine, None] = {}
         self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
+        self.leaving_since_ns = 0  # since when connections are to go; 0 while they may stay
 
     def connected(self, line: CallerLine) -> None:
         if len(self.lines) >= self.bounds.lines and not self.shed():
@@ -36,17 +42,41 @@
 
         Guards usual callers, whose connection is the newest, against those that connect and say no more.
         """
-        idle = (line for line in self.lines if line.is_open and not line.open_calls)
-        line = min(idle, key=lambda line: (line.taken > 0, line.heard_at_ns), default=None)
+        idle = [line for line in self.lines if line.is_open and not line.open_calls]
+        idle.sort(key=self.worth_keeping)
+        line = next((line for line in idle if not line.has_unread), None)
         if line is None:
             return False
         log.warning("many connections from callers, an idle one closed", open=len(self.lines))
         line.close()
         return True
 
+    @staticmethod
+    def worth_keeping(line: CallerLine) -> tuple[bool, int]:
+        return line.taken > 0, line.heard_at_ns + (HALF_CREDIT_NS if line.half_since_ns else 0)
+
+    def leave(self, now_ns: int) -> None:
+        """Each connection goes once nothing is open on it, until they may stay again."""
+        self.leaving_since_ns = now_ns
+
+    def stay(self) -> None:
+        self.leaving_since_ns = 0
+
+    def turns_away(self, now_ns: int) -> bool:
+        return bool(self.leaving_since_ns) and now_ns > self.leaving_since_ns + TURN_AWAY_NS
+
+    def send_away(self, line: CallerLine, now_ns: int) -> None:
+        """Guards what is on its way: nothing read or half read is lost with the connection."""
+        busy = not line.is_open or line.open_calls or line.half_since_ns
+        due = now_ns > max(self.leaving_since_ns, line.connected_at_ns) + LEAVE_NS
+        if due and not busy and not line.has_unread:
+            line.close()
+
     def sweep(self, now_ns: int) -> None:
         for line in list(self.lines):
             line.sweep(now_ns)
+            if self.leaving_since_ns:
+                self.send_away(line, now_ns)
 
     def release(self, call: str, cause: int, line: CallerLine | None) -> None:
         """On the line that asked while it is open, else on another; kept until there is one.
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -13,8 +13,10 @@
 MS = 1_000_000
 MOST_PATIENCE_MS = 3_600_000  # no caller waits an hour: a longer figure is cut to that
 TEST_PASSED = b"\x01"
-# A caller that sends nothing of use is owed a close within 3 s: it comes at a sweep after these.
-SILENT_NS, HALF_NS, LINGER_NS = 2000 * MS, 1500 * MS, 1000 * MS
+TEST_FAILED = b"\x00"
+# A caller that sends nothing of use is owed a close within 3 s: it comes at a sweep after these. Half a
+# message has longer than silence, as some callers take 2 s to write one.
+SILENT_NS, HALF_NS, LINGER_NS = 2000 * MS, 2700 * MS, 1000 * MS
 BAD_SET_UPS_LIMIT = 16  # on one connection; beyond it the connection goes once no good call is open there
 
 
@@ -38,6 +40,8 @@
 class CallerDesk(Protocol):
     """What the controller does for connections from callers, whatever protocol they speak."""
 
+    @property
+    def takes_calls(self) -> bool: ...
     def caller_connected(self, line: CallerLine) -> None: ...
     def caller_lost(self, line: CallerLine) -> None: ...
     def offered(self, line: CallerLine, offer: Offer) -> bool: ...
@@ -99,6 +103,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.desk.caller_lost(self)
 
+    def data_received(self, data: bytes) -> None:
+        self.heard_at_ns = time.monotonic_ns()
+        super().data_received(data)
+
     def take(self, message: Message) -> None:
         match message.kind:
             case Kind.SET_UP:
@@ -108,7 +116,8 @@
             case Kind.RELEASE:
                 self.desk.caller_ended(message.call, message.cause())
             case Kind.TEST:
-                self.write(encode(Kind.TEST_RESULT, message.call, {Code.CAUSE: TEST_PASSED}))
+                result = TEST_PASSED if self.desk.takes_calls else TEST_FAILED
+                self.write(encode(Kind.TEST_RESULT, message.call, {Code.CAUSE: result}))
             case Kind.PROGRESS | Kind.RELEASE_HEARD:
                 pass
             case _:
@@ -116,7 +125,6 @@
 
     def take_set_up(self, message: Message) -> None:
         """One that can't be used is turned down by itself: the good calls of this connection go on."""
-        self.heard_at_ns = time.monotonic_ns()
         try:
             offer = read_offer(message)
         except MalformedMessageError as error:
@@ -140,6 +148,10 @@
         log.warning("caller's connection closed", reason=reason)
         self.close()
 
+    @property
+    def first_set_up_ns(self) -> int:
+        return HALF_NS if self.half_since_ns else SILENT_NS
+
     def sweep(self, now_ns: int) -> None:
         """Close what says nothing, or half a message, while the caller is still owed its close."""
         if not self.is_open:
@@ -147,8 +159,8 @@
                 self.abort()
         elif self.half_since_ns and now_ns > self.half_since_ns + HALF_NS:
             self.spoilt("half a message, and no more")
-        elif not self.taken and not self.open_calls and now_ns > self.connected_at_ns + SILENT_NS:
-            self.spoilt("no set-up since it was opened")
+        elif not self.taken and now_ns > self.connected_at_ns + self.first_set_up_ns:
+            self.spoilt("no set-up yet")
 
     def answer(self, call: str, description: bytes) -> bool:
         return self.write(encode(Kind.ANSWER, call, {Code.DESCRIPTION: description}))
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -12,7 +12,8 @@
 from arrowkeel import wire
 
 MS = 1_000_000
-LINES_SHARE = 0.6  # of the descriptors; the rest is for exchanges, the change log and what is being accepted
+LINES_SHARE = 0.6  # of the descriptors; the rest is for exchanges, the change log, operators, new connections
+SHARED_LINES_SHARE = 0.36  # where a successor and its forerunner run at once, within one set of limits
 PROGRAM_BYTES = 18 << 20  # what the program itself takes
 LIFECYCLES = {
     "up": it.Listing.SERVING,
@@ -77,6 +78,7 @@
     """What tables and buffers may hold, as parts of the memory and descriptors that the limits state."""
 
     lines: int  # connections from callers, who hold at most a third of the descriptors
+    door: int  # connections from operators
     backlog: int  # connections that the machine may have accepted and we have not yet seen
     open_calls: int
     descriptions: int  # bytes, of all calls that may still be sent
@@ -85,11 +87,14 @@
     news: int  # bytes of one line of the change log
 
     @classmethod
-    def within(cls, memory: int, descriptors: int, most_open: int) -> Bounds:
-        spare, lines = max(PROGRAM_BYTES // 4, memory - PROGRAM_BYTES), int(descriptors * LINES_SHARE)
+    def within(cls, memory: int, descriptors: int, most_open: int, shared: bool = False) -> Bounds:
+        memory = memory // 2 if shared else memory
+        spare = max(PROGRAM_BYTES // 4, memory - PROGRAM_BYTES)
+        lines = int(descriptors * (SHARED_LINES_SHARE if shared else LINES_SHARE))
         return cls(
             lines=lines,
-            backlog=max(16, descriptors // 6),
+            door=max(4, descriptors // 12),
+            backlog=2 * descriptors,  # a crowd must not make usual callers wait a second for the next try
             open_calls=min(most_open, spare // 4096),
             descriptions=spare // 4,
             records=spare // 16384,
@@ -102,6 +107,8 @@
 class Config:
     name: str
     listen: Address
+    operator: Address | None  # where operators call; None where nobody may
+    accept_fd: int | None  # the listening socket, where the platform holds it
     seed: int
     bounds: Bounds
     changelog: Address
@@ -164,7 +171,8 @@
     return News(seq, bool(fleet.get("reset", False)), tuple(read_entry(entry, clock) for entry in instances))
 
 
-def read_config(text: str, clock: Clock) -> Config:
+def read_config(text: str, clock: Clock, environment: Mapping[str, str] | None = None) -> Config:
+    environment = environment or {}
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError) as error:
@@ -192,12 +200,18 @@
     except (wire.MalformedError, OverflowError) as error:
         raise ConfigError(f"settings: {error}") from None
     allowed = field_of(settings, "permissions", dict, "settings.")
+    operator = raw.get("operator") or environment.get("LB_OPERATOR")
+    held = environment.get("LB_ACCEPT_FD", "")
+    if held and not (held.isascii() and held.isdigit() and len(held) <= 6):
+        raise ConfigError(f"LB_ACCEPT_FD: {held!r} is no descriptor")
     return Config(
         name=field_of(raw, "name", str),
         listen=read_address(raw.get("listen"), "listen", least_port=0),
+        operator=read_address(operator, "operator", least_port=0) if operator else None,
+        accept_fd=int(held) if held else None,
         seed=seed,
         bounds=Bounds.within(
-            memory, descriptors, field_of(allowed, "maxOpen", int, "settings.permissions.")
+            memory, descriptors, field_of(allowed, "maxOpen", int, "settings.permissions."), bool(held)
         ),
         changelog=read_address(raw.get("changelog"), "changelog"),
         known=news,
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -17,12 +17,10 @@
 from arrowkeel.net.codec import Clear
 from arrowkeel.net.config import MS, Config, News
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from arrowkeel.net.figures import Figures
 from arrowkeel.policy import Policy
 
-ACCEPT_NS = 700 * MS  # after SIGTERM calls go on coming for so long
-FLUSH_NS = 300 * MS  # for the last answers to be read, at the end
 OVERDUE_NS = 15 * MS  # past its caller's time a call is ended here, whatever the module did
-SWEEP_NS, SWEEPS = 50 * MS, 4  # between looks for connections that are of no use; callers' at every fourth
 log = structlog.get_logger()
 
 
@@ -62,39 +60,23 @@
         self.changelog = ChangeLog(
             config.changelog, config.last_seq, config.clock, self.news, config.bounds.news
         )
-        self.server: asyncio.Server | None = None
-        self.sweeps = 0
-        self.stop_at_ns = 0
-        self.finished: asyncio.Future[None] = self.loop.create_future()
+        self.figures = Figures(kind.name for kind in config.settings.classes)
+        self.takes_calls = True  # what tests of a caller's connection are told
 
-    # Start and stop
+    # Start, a new configuration, the end
 
     async def start(self) -> None:
+        """Returns once each exchange was dialled, with success or without."""
         for index, news in enumerate(self.config.known):
             self.news(news, remembered=index == 0)
-        listen = self.config.listen
-        self.server = await self.loop.create_server(
-            lambda: CallerLine(self, self.config.bounds.unsent),
-            listen.host,
-            listen.port,
-            backlog=self.config.bounds.backlog,
-        )
-        self.sweep()
         self.changelog.start()
+        dials = [pool.dialling for pool in self.pools.values() if pool.dialling is not None]
+        await asyncio.gather(*dials, return_exceptions=True)
 
-    def sweep(self) -> None:
-        now = time.monotonic_ns()
+    def sweep(self, now: int) -> None:
         for pool in self.pools.values():
             pool.sweep(now)
-        self.sweeps = (self.sweeps + 1) % SWEEPS
-        if not self.sweeps:
-            self.lines.sweep(now)
-        self.loop.call_later(SWEEP_NS / 1e9, self.sweep)
-
-    @property
-    def listening(self) -> str:
-        host, port = self.server.sockets[0].getsockname()[:2] if self.server is not None else ("", 0)
-        return f"{host}:{port}"
+        self.lines.sweep(now)
 
     def reload(self, config: Config) -> None:
         """What a new configuration changes while calls and connections go on as they are.
@@ -103,7 +85,7 @@
         and where we listen, hold until the next start.
         """
         old = self.config
-        kept = ("name", "listen", "seed", "settings", "report_names")
+        kept = ("name", "listen", "operator", "accept_fd", "seed", "settings", "report_names")
         later = [name for name in kept if getattr(config, name) != getattr(old, name)]
         self.config = replace(config, **{name: getattr(old, name) for name in kept})
         self.lines.bounds = config.bounds
@@ -114,30 +96,15 @@
         if config.changelog != old.changelog:
             self.changelog.move(config.changelog)
 
-    def stop(self) -> None:
-        """Calls go on being taken for a while; the end comes once every open call has its answer."""
-        if not self.stop_at_ns:
-            self.stop_at_ns = time.monotonic_ns() + ACCEPT_NS
-            log.info("stopping", open_calls=self.open_calls)
-            self.finish_if_due()
-
-    def finish_if_due(self) -> None:
-        now = time.monotonic_ns()
-        if self.finished.done():
-            return
-        if now >= self.stop_at_ns and self.server is not None:
-            self.server.close()
-        if now >= self.stop_at_ns and not self.open_calls:
-            self.finished.set_result(None)
-        else:
-            self.loop.call_later(0.01, self.finish_if_due)
-
-    async def finish(self) -> None:
+    async def close(self, until_ns: int) -> None:
         self.changelog.stop()
-        await self.lines.close(time.monotonic_ns() + FLUSH_NS)
+        await self.lines.close(until_ns)
         for pool in self.pools.values():
             pool.shut()
-        await asyncio.sleep(0.005)
+
+    def metrics(self) -> str:
+        skipped = sum(self.policy.avoids(exchange) for exchange in self.pools)
+        return self.figures.text(self.open_calls, len(self.pools), skipped)
 
     # The turn
 
@@ -169,10 +136,11 @@
                 self.set_up(call, exchange, abandon_at_ns, now)
             case it.Refuse(call, redial_after_ns):
                 if record := self.end(call):
+                    self.figures.dropped[record.offer.class_name] += 1
                     record.line.refuse(call, redial_after_ns)
             case it.Fail(call):
                 if record := self.end(call):
-                    record.line.fail(call)
+                    self.fail(call, record)
             case it.CancelAttempt(call, attempt):
                 record = self.calls.get(call)
                 if record is not None and record.attempts - 1 == attempt:
@@ -233,7 +201,7 @@
             # Guards the one final answer: the module has by now answered each call that it knows.
             log.error("call without an answer at its end", call=call)
             self.end(call)
-            record.line.fail(call)
+            self.fail(call, record)
             self.tell(it.CallerLeft(call))
         elif now >= record.deadline_ns:
             record.timer = self.loop.call_later(OVERDUE_NS / 1e9, self.expired, call, record)
@@ -262,6 +230,10 @@
             self.stood_at.get(record.pool.exchange, set()).discard(call)
         return record
 
+    def fail(self, call: str, record: CallRecord) -> None:
+        self.figures.bad_gateway[record.offer.class_name] += 1
+        record.line.fail(call)
+
     # From callers
 
     def caller_connected(self, line: CallerLine) -> None:
@@ -269,8 +241,9 @@
 
     def caller_broke(self, line: CallerLine, call: str) -> None:
         """A call whose caller can't go on with it: its one final answer, and nothing stays out for it."""
+        record = self.calls[call]
         self.caller_ended(call, Clear.NORMAL)
-        line.fail(call)
+        self.fail(call, record)
 
     def caller_lost(self, line: CallerLine) -> None:
         self.lines.lost(line)
@@ -288,11 +261,16 @@
             line.release(call, Clear.UNREADABLE)  # the call of that id goes on, on its own connection
             return False
         full = len(self.calls) >= bounds.open_calls or self.described > bounds.descriptions
-        if full or offer.class_name not in self.class_names:
-            # Guards the tables and the module: it would take a class that it does not know for its first.
+        if offer.class_name not in self.class_names:
+            # Guards the module: it would take a class that it does not know for its first.
             line.refuse(call, self.config.settings.longest_advice_ns)
-            return full
+            return False
         now = time.monotonic_ns()
+        if full or self.lines.turns_away(now):
+            # Guards the tables, and the end of a connection that is to go and is never idle.
+            self.figures.dropped[offer.class_name] += 1
+            line.refuse(call, self.config.settings.longest_advice_ns)
+            return True
         record = self.calls[call] = CallRecord(line, offer, now + offer.patience_ms * MS)
         line.open_calls.add(call)
         self.open_calls += 1
@@ -381,6 +359,7 @@
         record.offer = replace(record.offer, description=b"")
         if record.timer is not None:
             record.timer.cancel()
+        self.figures.passed[record.offer.class_name] += 1
         self.stood_at.setdefault(pool.exchange, set()).add(call)
         self.tell(it.CallStood(call, record.attempts - 1, pool.exchange, now - record.sent_ns))
 
@@ -398,6 +377,9 @@
             self.lines.release(call, cause, record.line)
             self.tell(replace(outcome, report=report))
 
+    def set_up_left(self) -> None:
+        self.figures.upstream_tries += 1
+
     def group_state(self, exchange: str, report: it.Report | None) -> None:
         self.tell(it.ProbeAnswer(exchange, it.Ending.COMPLETED, 0, report))
 
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -48,6 +48,7 @@
 class ExchangeDesk(Protocol):
     """What the controller does for connections to exchanges, whatever protocol they speak."""
 
+    def set_up_left(self) -> None: ...
     def stood(self, pool: ExchangePool, call: str, description: bytes) -> None: ...
     def attempt_ended(
         self,
@@ -306,7 +307,8 @@
             Code.NUMBER: order.number_called,
             Code.DESCRIPTION: order.description,
         }
-        line.write(encode(Kind.SET_UP, order.call, parameters))
+        if line.write(encode(Kind.SET_UP, order.call, parameters)):
+            self.desk.set_up_left()
 
     def flush_queue(self) -> None:
         queue, self.queue = self.queue, {}
--- a/arrowkeel/net/line.py
+++ b/arrowkeel/net/line.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import struct
+import termios
 import time
 from typing import Any, cast
 
@@ -51,6 +54,15 @@
     def is_open(self) -> bool:
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have come that the loop has not handed over yet."""
+        held = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if held is None or held.fileno() < 0:
+            return False
+        count: int = struct.unpack("i", fcntl.ioctl(held.fileno(), termios.FIONREAD, b"\0" * 4))[0]
+        return count > 0
+
     def data_received(self, data: bytes) -> None:
         try:
             for message in self.decoder.feed(data):
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -209,6 +209,7 @@
         self.config: dict[str, Any] = {
             "name": "n0",
             "listen": "127.0.0.1:0",
+            "operator": "127.0.0.1:0",
             "seed": "8c1f30d27a5be964",
             "limits": LIMITS,
             "changelog": self.changelog.address,
@@ -216,27 +217,43 @@
             "settings": SETTINGS,
         }
         self.path = folder / "config.json"
+        self.held: socket.socket | None = None  # the listening socket, where the platform holds it
 
     def launch(self) -> subprocess.Popen[str]:
         self.path.write_text(json.dumps(self.config))
+        held = self.held.fileno() if self.held is not None else None
+        named = {} if held is None else {"LB_ACCEPT_FD": str(held)}
         return subprocess.Popen(
             [sys.executable, "-u", "-m", "arrowkeel"],
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
-            env={**os.environ, "LB_CONFIG": str(self.path)},
+            env={**os.environ, "LB_CONFIG": str(self.path), **named},
+            pass_fds=() if held is None else (held,),
         )
 
     def start(self) -> None:
         self.process = self.launch()
         started = self.logged("started")
-        host, _, port = started.partition("listen='")[2].rstrip("'\n").rpartition(":")
-        self.listen = (host, int(port))
+        self.listen, self.door = (self.address(started, name) for name in ("listen", "operator"))
         self.news = Peer(self.changelog.accept())
         assert self.news.socket.recv(100) == b"since 1\n"
         for _ in range(LINES_KEPT):
             self.exchange.opened.get(timeout=PATIENCE_S)
 
+    @staticmethod
+    def address(line: str, name: str) -> tuple[str, int]:
+        host, _, port = line.partition(f"{name}='")[2].partition("'")[0].rpartition(":")
+        return host, int(port)
+
+    def ask(self, call: str, path: str) -> tuple[int, str]:
+        """One call at the operators' door: its status and text."""
+        with socket.create_connection(self.door, PATIENCE_S) as door:
+            door.sendall(f"{call} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+            answer = b"".join(iter(lambda: door.recv(65536), b"")).decode()
+        head, _, text = answer.partition("\r\n\r\n")
+        return int(head.split()[1]), text
+
     def logged(self, text: str) -> str:
         """The next line of the log that has this text."""
         assert self.process.stdout is not None
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -23,6 +23,10 @@
 
     def __init__(self) -> None:
         self.told: asyncio.Queue[tuple[Any, ...]] = asyncio.Queue()
+        self.left = 0  # set-ups
+
+    def set_up_left(self) -> None:
+        self.left += 1
 
     def attempt_ended(self, call: str, ending: it.Ending, *_: Any) -> None:
         self.told.put_nowait(("ended", call, ending))
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,105 @@
+"""Stories of the program in service: the operators' door, standby, a process that follows another."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from arrowkeel.net.codec import Code, Kind
+from arrowkeel.net.exchanges import LINES_KEPT
+from tests.peers import CALL, OTHER, PATIENCE_S, Peer, Program, running
+
+THIRD = "00000000000000c3"
+
+
+@pytest.fixture
+def program(tmp_path: Path) -> Iterator[Program]:
+    with running(tmp_path) as program:
+        yield program
+
+
+def ready(caller: Peer) -> bytes:
+    caller.send(Kind.TEST, OTHER, {Code.CAUSE: b"\x00"})
+    return caller.expect(Kind.TEST_RESULT, OTHER).parameters[Code.CAUSE]
+
+
+def test_operators_are_answered_beside_those_who_say_nothing_or_half_a_call(program: Program) -> None:
+    waiting = [socket.create_connection(program.door, PATIENCE_S) for _ in range(60)]
+    waiting[-1].sendall(b"GET /sta")
+    assert program.ask("GET", "/status")[0] == 200
+    assert [program.ask(*call)[0] for call in (("POST", "/status"), ("GET", "/x"), ("?", "/status"))] == [
+        405,
+        404,
+        400,
+    ]
+    assert program.ask("GET", "/" + "x" * 9000)[0] == 413
+
+
+def test_figures_count_what_peers_saw(program: Program) -> None:
+    caller = program.caller()
+    program.standing(caller)
+    caller.set_up(OTHER, dest=9)
+    caller.expect(Kind.RELEASE, OTHER)
+    caller.set_up(THIRD)
+    program.exchange.expect(Kind.SET_UP, THIRD)
+    assert program.ask("GET", "/status/metrics")[1].splitlines() == [
+        "controller.passed.voice:1|c",
+        "controller.dropped.voice:1|c",
+        "controller.bad_gateway.voice:0|c",
+        "controller.upstream_tries:2|c",
+        "controller.in_progress:1|g",
+        "controller.known_exchanges:1|g",
+        "controller.skipped_exchanges:0|g",
+    ]
+
+
+def test_standby_sends_callers_away_and_active_takes_them_back(program: Program) -> None:
+    busy, idle = program.caller(), program.caller()
+    busy.set_up()
+    program.exchange.expect(Kind.SET_UP)
+    idle.tested()
+    assert program.ask("POST", "/standby")[0] == 200 and program.ask("GET", "/status")[0] == 503
+    assert idle.receive() is None
+    assert ready(busy) == b"\x00"
+    program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
+    busy.expect(Kind.ANSWER)
+    assert busy.receive() is None
+    assert program.ask("POST", "/active")[0] == 200 and program.ask("GET", "/status")[0] == 200
+    back = program.caller()
+    assert ready(back) == b"\x01"
+    program.standing(back, OTHER)
+
+
+def test_a_process_follows_another_on_the_platforms_socket_and_no_call_is_turned_back(tmp_path: Path) -> None:
+    program, held = Program(tmp_path), socket.create_server(("127.0.0.1", 0))
+    held.set_inheritable(True)
+    program.held = held
+    program.start()
+    first = program.process
+    try:
+        caller, idle = program.caller(), program.caller()
+        caller.set_up()
+        program.exchange.expect(Kind.SET_UP)
+        idle.tested()
+        program.start()
+        first.terminate()
+        assert idle.receive() is None
+        program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
+        caller.expect(Kind.ANSWER)
+        assert caller.receive() is None and first.wait(PATIENCE_S) == 0
+        after = program.caller()
+        program.standing(after, OTHER)
+        for _ in range(LINES_KEPT):
+            program.exchange.ended.get(timeout=PATIENCE_S)
+        program.exchange.release(CALL, 16)  # of a call that stood before this process began
+        assert after.expect(Kind.RELEASE).cause() == 16
+    finally:
+        for process in (first, program.process):
+            process.kill()
+            process.wait(PATIENCE_S)
+            if process.stdout is not None:
+                process.stdout.close()
+        held.close()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -11,11 +11,10 @@
 
 import pytest
 
-from arrowkeel import Policy
 from arrowkeel.net.callers import BAD_SET_UPS_LIMIT
 from arrowkeel.net.codec import Clear, Code, Kind
 from arrowkeel.net.config import Clock, read_config
-from arrowkeel.net.controller import Controller
+from arrowkeel.net.service import Service
 from tests.peers import CALL, OTHER, SETTINGS, Exchange, Listener, Program, event, instance, running
 
 
@@ -326,14 +325,14 @@
 
     async def run() -> None:
         config = read_config(json.dumps(scripted.config), Clock.now())
-        controller = Controller(config, Policy(config.settings, config.seed))
-        await controller.start()
-        assert controller.server is not None
-        controller.stop()
-        assert controller.server.is_serving() and not controller.finished.done()
-        await asyncio.wait_for(controller.finished, 20)
-        assert not controller.server.is_serving()
-        await controller.finish()
+        service = Service(config)
+        await service.start()
+        assert service.server is not None
+        service.stop()
+        assert service.server.is_serving() and not service.finished.done()
+        await asyncio.wait_for(service.finished, 20)
+        assert not service.server.is_serving()
+        await service.finish()
 
     asyncio.run(run())
 
