Keep releases for a connection that spoke of a call, not for the front's tests

Now they wait for a connection that spoke of a call (a set-up that was taken, a release); silent ones get none either.

--- a/arrowkeel/net/callerlines.py
+++ b/arrowkeel/net/callerlines.py
@@ -21,7 +21,7 @@
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
         self.lines: dict[CallerLine, None] = {}
-        self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
+        self.kept: dict[str, int] = {}  # releases for the next caller's connection, with their causes
         self.leaving_since_ns = 0  # since when connections are to go; 0 while they may stay
 
     def connected(self, line: CallerLine) -> None:
@@ -30,6 +30,9 @@
             line.abort()
             return
         self.lines[line] = None
+
+    def spoke(self, line: CallerLine) -> None:
+        """The releases that no caller's connection was open for."""
         kept, self.kept = self.kept, {}
         for call, cause in kept.items():
             self.release(call, cause, line)
@@ -79,14 +82,15 @@
                 self.send_away(line, now_ns)
 
     def release(self, call: str, cause: int, line: CallerLine | None) -> None:
-        """On the line that asked while it is open, else on another; kept until there is one.
+        """On the line that asked while it is open, else on another caller's; kept until there is one.
 
-        Guards against a release that only a silent or bad client gets: lines that call most come first.
+        Guards against a release that only a silent client gets, or the front, which tests all the while and
+        calls nobody: it passes releases to none. Lines that called last come first.
         """
         if line is not None and line.is_open and line.release(call, cause):
             return
-        others = [other for other in self.lines if other.is_open]
-        for other in sorted(others, key=lambda other: (other.taken > 0, other.heard_at_ns), reverse=True):
+        others = [other for other in self.lines if other.is_open and other.spoke]
+        for other in sorted(others, key=lambda other: other.heard_at_ns, reverse=True):
             if other.release(call, cause):
                 return
         if len(self.kept) < self.bounds.records:
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -43,6 +43,7 @@
     @property
     def takes_calls(self) -> bool: ...
     def caller_connected(self, line: CallerLine) -> None: ...
+    def caller_spoke(self, line: CallerLine) -> None: ...
     def caller_lost(self, line: CallerLine) -> None: ...
     def offered(self, line: CallerLine, offer: Offer) -> bool: ...
     def caller_ended(self, call: str, cause: int) -> None: ...
@@ -94,6 +95,7 @@
         self.desk = desk
         self.open_calls: set[str] = set()
         self.taken = self.bad = 0  # set-ups that were offered on, that were not
+        self.spoke = False  # of a call, as callers do; those that only test whether we are there do not
         self.heard_at_ns = self.connected_at_ns = time.monotonic_ns()
 
     def connection_made(self, transport: object) -> None:
@@ -115,6 +117,7 @@
                 raise MalformedMessageError(message.flaw)
             case Kind.RELEASE:
                 self.desk.caller_ended(message.call, message.cause())
+                self.speaks()
             case Kind.TEST:
                 result = TEST_PASSED if self.desk.takes_calls else TEST_FAILED
                 self.write(encode(Kind.TEST_RESULT, message.call, {Code.CAUSE: result}))
@@ -136,11 +139,17 @@
         else:
             if self.desk.offered(self, offer):
                 self.taken += 1
+                self.speaks()
                 return
         self.bad += 1
         if self.bad > BAD_SET_UPS_LIMIT and not self.open_calls:
             self.close()
 
+    def speaks(self) -> None:
+        if not self.spoke:
+            self.spoke = True
+            self.desk.caller_spoke(self)
+
     def spoilt(self, reason: str) -> None:
         """Each call that is open here gets its final answer before the connection goes."""
         for call in sorted(self.open_calls):
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -239,6 +239,9 @@
     def caller_connected(self, line: CallerLine) -> None:
         self.lines.connected(line)
 
+    def caller_spoke(self, line: CallerLine) -> None:
+        self.lines.spoke(line)
+
     def caller_broke(self, line: CallerLine, call: str) -> None:
         """A call whose caller can't go on with it: its one final answer, and nothing stays out for it."""
         record = self.calls[call]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -73,6 +73,20 @@
     program.standing(back, OTHER)
 
 
+def test_what_ends_in_standby_waits_for_a_caller_and_is_not_told_to_the_front(program: Program) -> None:
+    caller = program.caller()
+    program.standing(caller)
+    assert program.ask("POST", "/standby")[0] == 200 and caller.receive() is None
+    fronts = [program.caller()]
+    assert ready(fronts[0]) == b"\x00"
+    program.exchange.release(CALL, 16)
+    fronts.append(program.caller())
+    assert ready(fronts[1]) == b"\x00"
+    back = program.caller()
+    back.set_up(OTHER)
+    assert back.expect(Kind.RELEASE).cause() == 16
+
+
 def test_a_process_follows_another_on_the_platforms_socket_and_no_call_is_turned_back(tmp_path: Path) -> None:
     program, held = Program(tmp_path), socket.create_server(("127.0.0.1", 0))
     held.set_inheritable(True)
