On standby keep the last caller's connection for 3.8 s to carry releases

Probe: 95 releases waited in the three stand-bys of 4.55 s, 89 of them for more than 1 s and those are lost; every connection had been closed by CallerLines.send_away within 0.55 s, and callers do not come back before the end.

Now the last connection that spoke of a call stays until 3.8 s (4 s are allowed), and set-ups that come on it later than 1.9 s are refused with advice, as none of the last 2 s may be left then. Not taken: keeping all of them, which would refuse four times as many.

--- a/arrowkeel/net/callerlines.py
+++ b/arrowkeel/net/callerlines.py
@@ -10,8 +10,9 @@
 from arrowkeel.net.line import log
 
 # While connections are to go: how long an idle one stays, since its next set-up may be on its way and new
-# ones still come; and when set-ups on those that are never idle are turned away.
-LEAVE_NS, TURN_AWAY_NS = 300 * MS, 1500 * MS
+# ones still come; when set-ups on those that are never idle are turned away; and how long the last one stays
+# to carry releases. 4 s after standby was asked no idle one may be left, nor one with a call of the last 2 s.
+LEAVE_NS, TURN_AWAY_NS, CARRY_NS = 300 * MS, 1900 * MS, 3800 * MS
 HALF_CREDIT_NS = 500 * MS  # half a message is worth more than silence when room has to be made
 
 
@@ -23,6 +24,7 @@
         self.lines: dict[CallerLine, None] = {}
         self.kept: dict[str, int] = {}  # releases for the next caller's connection, with their causes
         self.leaving_since_ns = 0  # since when connections are to go; 0 while they may stay
+        self.carry_until_ns = 0  # until when the last of them stays nevertheless
 
     def connected(self, line: CallerLine) -> None:
         if len(self.lines) >= self.bounds.lines and not self.shed():
@@ -58,9 +60,14 @@
     def worth_keeping(line: CallerLine) -> tuple[bool, int]:
         return line.taken > 0, line.heard_at_ns + (HALF_CREDIT_NS if line.half_since_ns else 0)
 
-    def leave(self, now_ns: int) -> None:
-        """Each connection goes once nothing is open on it, until they may stay again."""
+    def leave(self, now_ns: int, carry: bool) -> None:
+        """Each connection goes once nothing is open on it, until they may stay again.
+
+        With `carry` the last one stays for a while. Guards what stands: callers do not come back in standby,
+        and without a connection none could be told that its call is over.
+        """
         self.leaving_since_ns = now_ns
+        self.carry_until_ns = now_ns + CARRY_NS if carry else now_ns
 
     def stay(self) -> None:
         self.leaving_since_ns = 0
@@ -71,6 +78,8 @@
     def send_away(self, line: CallerLine, now_ns: int) -> None:
         """Guards what is on its way: nothing read or half read is lost with the connection."""
         busy = not line.is_open or line.open_calls or line.half_since_ns
+        if line.spoke and now_ns < self.carry_until_ns:
+            busy = busy or not any(other.is_open and other.spoke for other in self.lines if other is not line)
         due = now_ns > max(self.leaving_since_ns, line.connected_at_ns) + LEAVE_NS
         if due and not busy and not line.has_unread:
             line.close()
--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -99,7 +99,7 @@
             self.duty = Duty.STANDBY
             log.info("standby", open_calls=self.controller.open_calls)
             self.controller.takes_calls = False
-            self.controller.lines.leave(time.monotonic_ns())
+            self.controller.lines.leave(time.monotonic_ns(), carry=True)
         return self.duty is Duty.STANDBY
 
     def active(self) -> bool:
@@ -124,7 +124,7 @@
             log.info("stopping", open_calls=self.controller.open_calls)
             if self.config.accept_fd is not None:
                 self.close_server()
-                self.controller.lines.leave(time.monotonic_ns())
+                self.controller.lines.leave(time.monotonic_ns(), carry=False)
             self.finish_if_due()
 
     def close_server(self) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -58,6 +59,7 @@
 
 def test_standby_sends_callers_away_and_active_takes_them_back(program: Program) -> None:
     busy, idle = program.caller(), program.caller()
+    program.standing(busy, THIRD)
     busy.set_up()
     program.exchange.expect(Kind.SET_UP)
     idle.tested()
@@ -66,6 +68,11 @@
     assert ready(busy) == b"\x00"
     program.exchange.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
     busy.expect(Kind.ANSWER)
+    later = time.monotonic() + 1.0
+    while time.monotonic() < later:  # the last one that speaks of calls stays, to be told what is over
+        assert ready(busy) == b"\x00"
+    program.exchange.release(THIRD, 16)
+    busy.expect(Kind.RELEASE, THIRD)
     assert busy.receive() is None
     assert program.ask("POST", "/active")[0] == 200 and program.ask("GET", "/status")[0] == 200
     back = program.caller()
@@ -84,6 +91,7 @@
     assert ready(fronts[1]) == b"\x00"
     back = program.caller()
     back.set_up(OTHER)
+    back.expect(Kind.RELEASE, OTHER)  # so long after it was asked, standby turns calls away
     assert back.expect(Kind.RELEASE).cause() == 16
 
 
