Count calls that stand among those in progress

Controller.metrics gave open_calls, set-ups without an answer only; a call that stands is taken and not over. All other figures were true, so nothing else is changed.

--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -104,7 +104,7 @@
 
     def metrics(self) -> str:
         skipped = sum(self.policy.avoids(exchange) for exchange in self.pools)
-        return self.figures.text(self.open_calls, len(self.pools), skipped)
+        return self.figures.text(len(self.calls), len(self.pools), skipped)
 
     # The turn
 
