Double the own processor's rate below L, up to 1.5 times what is usually asked

Probe of each refusal and the module's notes: exchange 0's processor hangs from 8 to 16.6 s, which costs what it must; but its own agent stays in overload until 24.5 s, refusing 280 calls in 3 s at pressure 0.0 while both far ends are normal. Processor.observe raises oc by 15 in 100 a step from one set-up a second; a far end's jumps to `fair`, the share that its reports tell, and the own one has no report.

Now below L the own oc doubles each step, up to 1.5 times the first set-ups a second that are usually asked for (redials included). The module test fails without it.

--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -23,6 +23,7 @@
 CROWD = 9.0  # senders for which one call each (floor, tolerance, trial) is little; more of them share it
 REGRANT_NS, CURBED_NS = S // 2, S  # a cut shows no sooner; overload ends once nobody was kept back so long
 CUT, RAISE = 0.85, 1.15  # steps of oc: above H, below it
+OWN_RAISE, USUAL = 2.0, 1.5  # of the own one below L; up to so many times the first set-ups asked for
 TAU_BASE, TAU_WORTH = 1.0, 2.0  # bucket tolerance in increments T, and what the worthiest class has beyond
 WAIT_AT_H = 0.2  # share of the longest aim: a wait that counts as H; two processors and a retry still fit
 HOLD_BACK_AT_H, QUEUED_AT_H = 0.25, 10.0  # asked share to hold back, messages waiting, that count as H
@@ -49,6 +50,7 @@
     state, silent, started, missed = NORMAL, False, 0, 0
     valid_until = curbed_at = granted_at = heard_at = measured_at = trial_at = told_at = 0
     told, delay, cold_rate, fair = 0.0, -1.0, 0.0, 0.0
+    calm_raise = RAISE
 
     def __init__(self, crowd: float, pace: float = 1.0) -> None:
         self.crowd, self.least = crowd, LEAST_RATE / crowd  # one a second from each of sixty is a flood
@@ -88,7 +90,8 @@
             cut = max(self.least, min(self.rate, self.done_rate(now)) * CUT)
             # Below H what it says it takes, shared evenly, is safe at once: grown from one a second a rate
             # was seconds behind a processor that had recovered. Harm: an old figure, until the next report.
-            self.rate = cut if pressure >= H else max(self.rate * RAISE, self.fair)
+            usual = min(self.rate * self.calm_raise, USUAL * self.asked.rate(now)) if pressure < L else 0.0
+            self.rate = cut if pressure >= H else max(self.rate * RAISE, self.fair, usual)
 
     def lapse(self, now: int) -> None:
         """Unrenewed, overload lapses to normal; blocking first to overload, lest all held calls burst out."""
@@ -169,6 +172,7 @@
         # shorter too, and a span kept whole outlives the distress it guards against. Longer aims keep them.
         self.pace = min(1.0, max(PACE_LEAST, settings.longest_aim_ns / PACE_AIM_NS))
         self.own, self.crowd = Processor(1.0, self.pace), max(1.0, settings.agents / CROWD)
+        self.own.calm_raise = OWN_RAISE
         # Sixty agents in doubt about sixty far ends probed more than callers called, at their expense. It
         # bounds what any common distress adds. Harm: that a far end has recovered is known seconds later.
         self.far_probe_gap = int(PROBE_GAP_NS * self.crowd)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -361,3 +361,15 @@
     for second in range(100):
         times.add(second * S)
     assert len(times.moments) <= 10
+
+
+def test_the_own_processor_is_trusted_again_soon_after_it_hung() -> None:
+    """A hang left it curbed for 8 s more: no report tells what it takes, as it is told of far ends."""
+    own = Desk().policy.own
+    for call in range(600):
+        own.asked.add(94 * S + call * S // 100)
+    own.observe(1.5, 100 * S, 0.0)
+    for step in range(1, 8):
+        own.curbed_at = now = 100 * S + step * S // 2  # calls press at the gate all the while
+        own.observe(0.0, now, 0.0)
+    assert own.state != 0 and 60 < own.rate < 110  # as many a second as callers and their redials ask for
