--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -55,7 +55,8 @@
             if self.duty is Duty.STARTING:
                 self.server = await self.listen()
         except (OSError, ValueError) as error:
-            raise ConfigError(f"listen: {error}") from None
+            named = "listen" if self.config.accept_fd is None else "LB_ACCEPT_FD"
+            raise ConfigError(f"{named}: {error}") from None
         if self.duty is Duty.STARTING:
             self.duty = Duty.READY
         self.sweep()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -219,16 +219,17 @@
         self.path = folder / "config.json"
         self.held: socket.socket | None = None  # the listening socket, where the platform holds it
 
-    def launch(self) -> subprocess.Popen[str]:
+    def launch(self, **environment: str) -> subprocess.Popen[str]:
         self.path.write_text(json.dumps(self.config))
         held = self.held.fileno() if self.held is not None else None
-        named = {} if held is None else {"LB_ACCEPT_FD": str(held)}
+        if held is not None:
+            environment["LB_ACCEPT_FD"] = str(held)
         return subprocess.Popen(
             [sys.executable, "-u", "-m", "arrowkeel"],
             stdout=subprocess.PIPE,
             stderr=subprocess.STDOUT,
             text=True,
-            env={**os.environ, "LB_CONFIG": str(self.path), **named},
+            env={**os.environ, "LB_CONFIG": str(self.path), **environment},
             pass_fds=() if held is None else (held,),
         )
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -95,6 +95,13 @@
     assert back.expect(Kind.RELEASE).cause() == 16
 
 
+@pytest.mark.parametrize("held", ["x", "-1", "999"])
+def test_a_descriptor_that_is_no_socket_is_named(tmp_path: Path, held: str) -> None:
+    process = Program(tmp_path).launch(LB_ACCEPT_FD=held)
+    said, _ = process.communicate(timeout=PATIENCE_S)
+    assert process.returncode == 2 and said.count("\n") == 1 and "LB_ACCEPT_FD" in said
+
+
 def test_a_process_follows_another_on_the_platforms_socket_and_no_call_is_turned_back(tmp_path: Path) -> None:
     program, held = Program(tmp_path), socket.create_server(("127.0.0.1", 0))
     held.set_inheritable(True)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -12,7 +12,7 @@
 import pytest
 
 from arrowkeel.net.callers import BAD_SET_UPS_LIMIT
-from arrowkeel.net.codec import Clear, Code, Kind
+from arrowkeel.net.codec import Clear, Code, Kind, encode
 from arrowkeel.net.config import Clock, read_config
 from arrowkeel.net.service import Service
 from tests.peers import CALL, OTHER, SETTINGS, Exchange, Listener, Program, event, instance, running
@@ -133,6 +133,26 @@
     caller.expect(Kind.RELEASE)
 
 
+def test_a_set_up_that_takes_two_seconds_to_write_is_taken(program: Program) -> None:
+    """On crowded days some usual callers write theirs so slowly, each on a fresh connection."""
+    caller = program.caller()
+    message = encode(
+        Kind.SET_UP,
+        CALL,
+        {
+            Code.CLASS: "voice",
+            Code.PATIENCE: "60000",
+            Code.NUMBER: "7f3a9c21e0b4d655",
+            Code.FIGURES: "dest:1",
+            Code.DESCRIPTION: b"offer",
+        },
+    )
+    for at in range(0, len(message), 30):
+        caller.socket.sendall(message[at : at + 30])
+        time.sleep(2.2 * 30 / len(message))
+    program.exchange.expect(Kind.SET_UP)
+
+
 def test_at_the_share_of_descriptors_an_idle_connection_goes_and_a_callers_newest_stays(
     tmp_path: Path,
 ) -> None:
@@ -342,6 +362,8 @@
         ({"listen": "nowhere"}, "listen"),
         ({"listen": "taken"}, "listen"),
         ({"settings": {**SETTINGS, "classes": [{**SETTINGS["classes"][0], "onTimeNs": 1e999}]}}, "settings"),
+        ({"operator": "nowhere"}, "operator"),
+        ({"operator": "taken"}, "operator"),
         ({"seed": "xyz"}, "seed"),
         ({"limits": {}}, "limits.sockets"),
         ({"settings": {"permissions": {}}}, "classes"),
@@ -353,8 +375,9 @@
 ) -> None:
     program = Program(tmp_path)
     program.config.update(changes)
-    if changes.get("listen") == "taken":
-        program.config["listen"] = program.changelog.address
+    for name in ("listen", "operator"):
+        if changes.get(name) == "taken":
+            program.config[name] = program.changelog.address
     process = program.launch()
     said, _ = process.communicate(timeout=20)
     assert process.returncode == 2 and said.count("\n") == 1 and named in said
