--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -50,10 +50,11 @@
                 await self.door.listen(self.config.operator)
         except OSError as error:
             raise ConfigError(f"operator: {error}") from None
-        await self.controller.start()
         try:
+            self.server = await self.listen()
+            await self.controller.start()
             if self.duty is Duty.STARTING:
-                self.server = await self.listen()
+                await self.server.start_serving()
         except (OSError, ValueError) as error:
             named = "listen" if self.config.accept_fd is None else "LB_ACCEPT_FD"
             raise ConfigError(f"{named}: {error}") from None
@@ -69,9 +70,12 @@
 
         if config.accept_fd is not None:  # the platform's socket: whoever runs after us has it too
             held = socket.socket(fileno=config.accept_fd)
-            return await self.loop.create_server(line, sock=held, backlog=config.bounds.backlog)
+            return await self.loop.create_server(
+                line, sock=held, backlog=config.bounds.backlog, start_serving=False
+            )
+        host, port = config.listen.host, config.listen.port
         return await self.loop.create_server(
-            line, config.listen.host, config.listen.port, backlog=config.bounds.backlog
+            line, host, port, backlog=config.bounds.backlog, start_serving=False
         )
 
     @property
