--- a/arrowkeel/net/callerlines.py
+++ b/arrowkeel/net/callerlines.py
@@ -60,14 +60,14 @@
     def worth_keeping(line: CallerLine) -> tuple[bool, int]:
         return line.taken > 0, line.heard_at_ns + (HALF_CREDIT_NS if line.half_since_ns else 0)
 
-    def leave(self, now_ns: int, carry: bool) -> None:
+    def leave(self, now_ns: int, carry_until_ns: int) -> None:
         """Each connection goes once nothing is open on it, until they may stay again.
 
-        With `carry` the last one stays for a while. Guards what stands: callers do not come back in standby,
+        The last one stays for a while nevertheless. Guards what stands: callers do not come back in standby,
         and without a connection none could be told that its call is over.
         """
         self.leaving_since_ns = now_ns
-        self.carry_until_ns = now_ns + CARRY_NS if carry else now_ns
+        self.carry_until_ns = carry_until_ns
 
     def stay(self) -> None:
         self.leaving_since_ns = 0
--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -9,6 +9,7 @@
 
 import structlog
 
+from arrowkeel.net.callerlines import CARRY_NS
 from arrowkeel.net.callers import CallerLine
 from arrowkeel.net.config import MS, Config, ConfigError
 from arrowkeel.net.controller import Controller
@@ -104,7 +105,8 @@
             self.duty = Duty.STANDBY
             log.info("standby", open_calls=self.controller.open_calls)
             self.controller.takes_calls = False
-            self.controller.lines.leave(time.monotonic_ns(), carry=True)
+            now = time.monotonic_ns()
+            self.controller.lines.leave(now, carry_until_ns=now + CARRY_NS)
         return self.duty is Duty.STANDBY
 
     def active(self) -> bool:
@@ -129,7 +131,7 @@
             log.info("stopping", open_calls=self.controller.open_calls)
             if self.config.accept_fd is not None:
                 self.close_server()
-                self.controller.lines.leave(time.monotonic_ns(), carry=False)
+                self.controller.lines.leave(time.monotonic_ns(), carry_until_ns=self.stop_at_ns)
             self.finish_if_due()
 
     def close_server(self) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import socket
 import time
 from collections.abc import Iterator
@@ -9,8 +11,10 @@
 
 import pytest
 
-from arrowkeel.net.codec import Code, Kind
+from arrowkeel.net.codec import Code, Kind, encode
+from arrowkeel.net.config import Clock, read_config
 from arrowkeel.net.exchanges import LINES_KEPT
+from arrowkeel.net.service import Service
 from tests.peers import CALL, OTHER, PATIENCE_S, Peer, Program, running
 
 THIRD = "00000000000000c3"
@@ -95,6 +99,30 @@
     assert back.expect(Kind.RELEASE).cause() == 16
 
 
+def test_what_ends_while_a_process_gives_way_is_still_told(tmp_path: Path) -> None:
+    """With its last connection closed at once, releases that come until its end would reach nobody."""
+    scripted, held = Program(tmp_path), socket.create_server(("127.0.0.1", 0))
+    address = held.getsockname()
+
+    async def run() -> None:
+        config = read_config(
+            json.dumps(scripted.config), Clock.now(), {"LB_ACCEPT_FD": str(held.detach())}
+        )
+        service = Service(config)
+        await service.start()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(encode(Kind.RELEASE, CALL, {Code.CAUSE: b"\x10"}))
+        while not any(line.spoke for line in service.controller.lines.lines):
+            await asyncio.sleep(0.01)
+        service.stop()
+        assert await reader.read() == b"" and time.monotonic_ns() >= service.stop_at_ns
+        writer.close()
+        await asyncio.wait_for(service.finished, PATIENCE_S)
+        await service.finish()
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("held", ["x", "-1", "999"])
 def test_a_descriptor_that_is_no_socket_is_named(tmp_path: Path, held: str) -> None:
     process = Program(tmp_path).launch(LB_ACCEPT_FD=held)
