Log and count why calls are refused and released, and how long exchanges are silent

Change: numbered connections; log entries for an exchange that is silent, heard again, lost (with the reason) or listed; one entry for standing calls released without a release; each step of a call at debug level; refusals carry a reason through the decisions; counters and gauges for all of it, which stay. The test of the metrics compares every counter that is not 0, as strict as the list of lines before. Decisions are unchanged: the reason of a refusal is not compared and not sent.

--- a/arrowkeel/interface.py
+++ b/arrowkeel/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 
@@ -55,6 +55,23 @@
     LINES_BUSY = "all lines of the number busy"
 
 
+class RefusalReason(Enum):
+    """Why a call was refused; for logs and metrics, it changes nothing that is sent."""
+
+    UNSAID = "unsaid"
+    NUMBER_GAPPED = "number gapped"
+    NO_ROUTE = "no route"
+    ATTEMPTS_USED = "attempts used"
+    OWN_PROCESSOR = "own processor pressed"
+    FAR_PROCESSOR = "far processor pressed"
+    FAR_SILENT = "far end silent"
+    NO_CIRCUIT = "no circuit"
+    TOO_LATE = "too late"
+    UNKNOWN_CLASS = "unknown class"
+    TABLE_FULL = "table full"
+    LEAVING = "leaving"
+
+
 @dataclass(frozen=True, slots=True)
 class CallClass:
     name: str
@@ -240,8 +257,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
+    """`reason` is only told: two refusals that differ in it alone are the same action."""
+
     call: str
     redial_after_ns: int = 0
+    reason: RefusalReason = field(default=RefusalReason.UNSAID, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/arrowkeel/net/changelog.py
+++ b/arrowkeel/net/changelog.py
@@ -50,7 +50,7 @@
     def data_received(self, data: bytes) -> None:
         if self.ended.done():
             return
-        self.heard_at_ns = time.monotonic_ns()
+        self.heard_at_ns = self.follower.heard_at_ns = time.monotonic_ns()
         self.buffer += data
         *lines, rest = bytes(self.buffer).split(b"\n")
         self.buffer = bytearray(rest)
@@ -74,9 +74,15 @@
     ) -> None:
         self.address, self.last, self.clock, self.tell = address, last, clock, tell
         self.line_limit = line_limit
+        self.heard_at_ns = time.monotonic_ns()
+        self.failures = 0  # connections that could not be made, or ended
         self.line: ChangeLine | None = None
         self.task: asyncio.Task[None] | None = None
 
+    def silent_ms(self) -> int:
+        """How long nothing has come from the change log, in milliseconds."""
+        return (time.monotonic_ns() - self.heard_at_ns) // MS
+
     def start(self) -> None:
         self.task = asyncio.get_running_loop().create_task(self.follow())
 
@@ -100,10 +106,17 @@
             try:
                 await self.dial(line, began_ns + DIAL_NS)
             except OSError as error:  # a time-out is one too
-                log.warning("change log not reached", reason=str(error) or type(error).__name__)
+                log.warning(
+                    "change log not reached",
+                    address=str(self.address),
+                    reason=str(error) or type(error).__name__,
+                    silent_ms=self.silent_ms(),
+                )
                 line.drop()
             else:
+                log.info("change log connected", address=str(self.address), since=self.last)
                 await self.watch(line)
+            self.failures += 1
             if time.monotonic_ns() - began_ns > AGAIN_MOST_NS:
                 again_ns = AGAIN_FIRST_NS
             await asyncio.sleep(again_ns / 1e9)
@@ -121,7 +134,7 @@
             if left_ns > 0:
                 await asyncio.wait({line.ended}, timeout=left_ns / 1e9)
             else:
-                log.warning("change log silent, reconnecting", last=self.last)
+                log.warning("change log silent, reconnecting", last=self.last, silent_ms=self.silent_ms())
                 line.drop()
 
     def take(self, line: bytes, is_first: bool) -> None:
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -17,10 +17,11 @@
 from arrowkeel.net.codec import Clear
 from arrowkeel.net.config import MS, Config, News
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
-from arrowkeel.net.figures import Figures
+from arrowkeel.net.metrics import ConnectionLoss, Metrics, ReleaseReason
 from arrowkeel.policy import Policy
 
 OVERDUE_NS = 15 * MS  # past its caller's time a call is ended here, whatever the module did
+CALLS_LOGGED = 8  # ids of calls in one entry of the log
 log = structlog.get_logger()
 
 
@@ -60,7 +61,7 @@
         self.changelog = ChangeLog(
             config.changelog, config.last_seq, config.clock, self.news, config.bounds.news
         )
-        self.figures = Figures(kind.name for kind in config.settings.classes)
+        self.metrics = Metrics(kind.name for kind in config.settings.classes)
         self.takes_calls = True  # what tests of a caller's connection are told
 
     # Start, a new configuration, the end
@@ -102,9 +103,28 @@
         for pool in self.pools.values():
             pool.shut()
 
-    def metrics(self) -> str:
-        skipped = sum(self.policy.avoids(exchange) for exchange in self.pools)
-        return self.figures.text(len(self.calls), len(self.pools), skipped)
+    def metrics_text(self) -> str:
+        return self.metrics.text(self.gauges())
+
+    def gauges(self) -> dict[str, int]:
+        """What is held at this moment."""
+        watched = [pool for exchange, pool in self.pools.items() if self.stood_at.get(exchange)]
+        return {
+            "in_progress": len(self.calls),
+            "known_exchanges": len(self.pools),
+            "skipped_exchanges": sum(self.policy.avoids(exchange) for exchange in self.pools),
+            "open_calls": self.open_calls,
+            "standing_calls": len(self.calls) - self.open_calls,
+            "silent_exchanges": sum(pool.is_silent for pool in self.pools.values()),
+            "longest_silence_with_calls_ms": max((pool.silent_ms() for pool in watched), default=0),
+            "releases_waiting_for_callers": len(self.lines.kept),
+            "releases_waiting_for_exchanges": sum(len(pool.kept) for pool in self.pools.values())
+            + len(self.kept_for_exchanges),
+            "caller_connections": len(self.lines.lines),
+            "change_log_silence_ms": self.changelog.silent_ms(),
+            "change_log_last": self.changelog.last,
+            "change_log_failures": self.changelog.failures,
+        }
 
     # The turn
 
@@ -134,9 +154,11 @@
         match action:
             case it.SetUp(call, exchange, abandon_at_ns):
                 self.set_up(call, exchange, abandon_at_ns, now)
-            case it.Refuse(call, redial_after_ns):
+            case it.Refuse(call, redial_after_ns, reason):
                 if record := self.end(call):
-                    self.figures.dropped[record.offer.class_name] += 1
+                    log.debug("call refused", call=call, reason=reason.value, attempts=record.attempts)
+                    self.metrics.refusals[reason] += 1
+                    self.metrics.dropped[record.offer.class_name] += 1
                     record.line.refuse(call, redial_after_ns)
             case it.Fail(call):
                 if record := self.end(call):
@@ -231,7 +253,8 @@
         return record
 
     def fail(self, call: str, record: CallRecord) -> None:
-        self.figures.bad_gateway[record.offer.class_name] += 1
+        log.debug("call failed", call=call, attempts=record.attempts, connection=record.line.number)
+        self.metrics.bad_gateway[record.offer.class_name] += 1
         record.line.fail(call)
 
     # From callers
@@ -266,12 +289,16 @@
         full = len(self.calls) >= bounds.open_calls or self.described > bounds.descriptions
         if offer.class_name not in self.class_names:
             # Guards the module: it would take a class that it does not know for its first.
+            self.metrics.refusals[it.RefusalReason.UNKNOWN_CLASS] += 1
             line.refuse(call, self.config.settings.longest_advice_ns)
             return False
         now = time.monotonic_ns()
         if full or self.lines.turns_away(now):
             # Guards the tables, and the end of a connection that is to go and is never idle.
-            self.figures.dropped[offer.class_name] += 1
+            reason = it.RefusalReason.TABLE_FULL if full else it.RefusalReason.LEAVING
+            log.debug("call refused", call=call, reason=reason.value, connection=line.number)
+            self.metrics.refusals[reason] += 1
+            self.metrics.dropped[offer.class_name] += 1
             line.refuse(call, self.config.settings.longest_advice_ns)
             return True
         record = self.calls[call] = CallRecord(line, offer, now + offer.patience_ms * MS)
@@ -279,6 +306,7 @@
         self.open_calls += 1
         self.described += len(offer.description)
         self.watch(call, record)
+        log.debug("call offered", call=call, connection=line.number, patience_ms=offer.patience_ms)
         self.tell(
             it.CallOffered(
                 call=call,
@@ -342,6 +370,16 @@
         if record is None or record.pool is None or record.stood_ns:
             return
         outcome = self.outcome(call, record, record.attempts - 1, ending)
+        self.metrics.attempts_ended[ending] += 1
+        log.debug(
+            "attempt ended",
+            call=call,
+            attempt=outcome.attempt,
+            exchange=outcome.exchange,
+            ending=ending.value,
+            cause=cause.value,
+            delay_ms=outcome.delay_ns // MS,
+        )
         record.pool = None
         self.tell(replace(outcome, cause=cause, told_wait_ns=wait_ns, report=report))
 
@@ -362,7 +400,8 @@
         record.offer = replace(record.offer, description=b"")
         if record.timer is not None:
             record.timer.cancel()
-        self.figures.passed[record.offer.class_name] += 1
+        log.debug("call stands", call=call, exchange=pool.exchange, connection=record.line.number)
+        self.metrics.passed[record.offer.class_name] += 1
         self.stood_at.setdefault(pool.exchange, set()).add(call)
         self.tell(it.CallStood(call, record.attempts - 1, pool.exchange, now - record.sent_ns))
 
@@ -377,11 +416,12 @@
             ending = it.Ending.COMPLETED if cause == Clear.NORMAL else it.Ending.CUT
             outcome = self.outcome(call, record, record.attempts - 1, ending, over=True)
             self.end(call)
+            log.debug("call over", call=call, exchange=pool.exchange, cause=cause)
             self.lines.release(call, cause, record.line)
             self.tell(replace(outcome, report=report))
 
     def set_up_left(self) -> None:
-        self.figures.upstream_tries += 1
+        self.metrics.upstream_tries += 1
 
     def group_state(self, exchange: str, report: it.Report | None) -> None:
         self.tell(it.ProbeAnswer(exchange, it.Ending.COMPLETED, 0, report))
@@ -392,14 +432,32 @@
             pool.release(call, cause)
 
     def exchange_died(self, pool: ExchangePool) -> None:
-        log.warning("exchange died", exchange=pool.exchange)
-        self.cut_standing(pool, time.monotonic_ns())
+        self.cut_standing(pool, time.monotonic_ns(), ReleaseReason.REFUSING)
+
+    def dial_failed(self) -> None:
+        self.metrics.dials_failed += 1
+
+    def connection_ended(self, loss: ConnectionLoss) -> None:
+        self.metrics.exchange_connections_lost[loss] += 1
 
-    def cut_standing(self, pool: ExchangePool, before_ns: int) -> None:
+    def cut_standing(self, pool: ExchangePool, before_ns: int, reason: ReleaseReason) -> None:
         """A process that is gone has cut its calls and may have told nobody: their callers are."""
-        for call in sorted(self.stood_at.get(pool.exchange, ())):
-            if self.calls[call].stood_ns < before_ns:
-                self.exchange_ended(pool, call, Clear.TEMPORARY_FAILURE, None)
+        standing = sorted(self.stood_at.get(pool.exchange, ()))
+        cut = [call for call in standing if self.calls[call].stood_ns < before_ns]
+        if not cut:
+            return
+        log.warning(
+            "standing calls released",
+            exchange=pool.exchange,
+            reason=reason.value,
+            released=len(cut),
+            kept=len(standing) - len(cut),
+            silent_ms=pool.silent_ms(),
+            first_calls=cut[:CALLS_LOGGED],
+        )
+        self.metrics.standing_released[reason] += len(cut)
+        for call in cut:
+            self.exchange_ended(pool, call, Clear.TEMPORARY_FAILURE, None)
 
     # From the change log
 
@@ -428,13 +486,19 @@
             if pool is None:
                 pool = self.pools[exchange] = ExchangePool(exchange, address, self, self.config)
             elif entry.listed.started_ns > self.started.get(exchange, 0):
-                self.cut_standing(pool, entry.listed.started_ns)
+                self.cut_standing(pool, entry.listed.started_ns, ReleaseReason.RESTARTED)
             self.started[exchange] = entry.listed.started_ns
             pool.set_serving(entry.listed.listing is it.Listing.SERVING)
             if not pool.lines:
                 pool.dial()
         for entry in news.entries:
-            log.debug("listed", exchange=entry.listed.exchange, listing=entry.listed.listing.value)
+            log.info(
+                "exchange listed",
+                seq=news.seq,
+                exchange=entry.listed.exchange,
+                listing=entry.listed.listing.value,
+                standing=len(self.stood_at.get(entry.listed.exchange, ())),
+            )
         self.tell(it.ExchangeList(kind, tuple(entry.listed for entry in news.entries)))
 
     def gone(self, exchange: str) -> None:
@@ -442,5 +506,5 @@
         self.started.pop(exchange, None)
         if pool is not None:
             pool.close()
-            self.cut_standing(pool, time.monotonic_ns() + 1)
+            self.cut_standing(pool, time.monotonic_ns() + 1, ReleaseReason.DELISTED)
             self.stood_at.pop(exchange, None)
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -13,7 +13,8 @@
 from arrowkeel import wire
 from arrowkeel.net.codec import Clear, Code, Kind, MalformedMessageError, Message, encode
 from arrowkeel.net.config import MS, Address, Config
-from arrowkeel.net.line import Line
+from arrowkeel.net.line import Line, SparseLog
+from arrowkeel.net.metrics import ConnectionLoss
 
 REDIAL_FIRST_NS, REDIAL_MOST_NS = 50 * MS, 1000 * MS  # between dials to an exchange that takes none
 DEAD_AFTER_NS = 2000 * MS  # lost and then refused for so long: its process is gone, and its calls with it
@@ -21,6 +22,7 @@
 # A set-up takes a circuit, and the group's state comes at once on each connection: one that brings nothing
 # for so long after a set-up, or lacks a state that another has, is mute, however open it looks.
 MUTE_NS = 250 * MS
+SILENT_NS = 1000 * MS  # nothing heard on any connection for so long while one is mute: logged as silent
 QUIET_NS = 3000 * MS  # nothing heard at all: a new connection brings the state and the missed releases
 ENDINGS: dict[int, it.Ending] = {
     Clear.NO_CIRCUIT: it.Ending.TURNED_AWAY,
@@ -32,6 +34,7 @@
 # The codes that the simulator's wire has for these notes, so that `wire` alone says what they mean.
 NOTES = {"group_full": 1, "tandem_refused": 2, "processor_full": 3, "user_busy": 4, "destination_full": 18}
 log = structlog.get_logger()
+sparse_log = SparseLog()
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,8 @@
     def group_state(self, exchange: str, report: it.Report | None) -> None: ...
     def exchange_connected(self, pool: ExchangePool) -> None: ...
     def exchange_died(self, pool: ExchangePool) -> None: ...
+    def dial_failed(self) -> None: ...
+    def connection_ended(self, loss: ConnectionLoss) -> None: ...
 
 
 class ExchangeLine(Line):
@@ -76,9 +81,19 @@
         self.heard_ns = time.monotonic_ns()
         self.asked_ns = 0  # when the first set-up left that nothing has been heard after
         self.behind_ns = 0  # since when another line knows a state that this one does not
+        self.loss: ConnectionLoss | None = None  # why it ends, where we end it
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.pool.lost(self, exc)
+        loss = self.loss or (ConnectionLoss.CLOSED_BY_PEER if exc is None else ConnectionLoss.RESET)
+        self.pool.lost(self, loss)
+
+    def abort_as(self, loss: ConnectionLoss) -> None:
+        self.loss = loss
+        self.abort()
+
+    def close(self) -> None:
+        self.loss = self.loss or ConnectionLoss.CLOSED_BY_US
+        super().close()
 
     def is_mute(self, now_ns: int) -> bool:
         since_ns = [ns for ns in (self.asked_ns, self.behind_ns, self.half_since_ns) if ns]
@@ -89,6 +104,7 @@
         if message.flaw:
             raise MalformedMessageError(message.flaw)
         self.heard_ns, self.asked_ns = time.monotonic_ns(), 0
+        pool.heard(self)
         self.released.clear()
         match message.kind:
             case Kind.ANSWER:
@@ -147,6 +163,8 @@
         self.connected_at_ns = 0
         self.lost_at_ns = 0  # when the last connection was lost, until the next one is open
         self.swept_ns = 0
+        self.heard_ns = 0  # when anything was last heard, on any connection
+        self.is_silent = False  # as the log was last told
         self.told_state: bytes | None = None  # the group's state as the module was last told
         self.queue: dict[str, SetUpOrder] = {}
         self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
@@ -193,6 +211,7 @@
 
     def connected(self, line: ExchangeLine) -> None:
         self.lines.append(line)
+        log.info("exchange connected", **self.facts(line))
         self.lost_at_ns, self.connected_at_ns = 0, time.monotonic_ns()
         kept, self.kept = self.kept, {}
         for call, cause in kept.items():
@@ -205,6 +224,10 @@
     def not_connected(self, failure: str) -> None:
         """What waited for this connection never ran; the next dial waits a while."""
         queue, self.queue = self.queue, {}
+        sparse_log.info(
+            f"dial to {self.exchange} failed", reason=failure, waiting=len(queue), silent_ms=self.silent_ms()
+        )
+        self.desk.dial_failed()
         for call in queue:
             self.desk.attempt_ended(call, it.Ending.NO_CONNECTION)
         lost_for_ns = time.monotonic_ns() - self.lost_at_ns if self.lost_at_ns else 0
@@ -219,12 +242,45 @@
             gap, self.redial_gap_ns = self.redial_gap_ns, min(2 * self.redial_gap_ns, REDIAL_MOST_NS)
             self.redial = asyncio.get_running_loop().call_later(gap / 1e9, self.dial)
 
-    def lost(self, line: ExchangeLine, exc: Exception | None) -> None:
+    def facts(self, line: ExchangeLine) -> dict[str, object]:
+        """What the log says of one connection."""
+        return {
+            "exchange": self.exchange,
+            "connection": line.number,
+            "connections": len(self.lines),
+            "set_ups": len(line.set_ups),
+            "heard_ms_ago": (time.monotonic_ns() - line.heard_ns) // MS,
+        }
+
+    def silent_ms(self) -> int:
+        """How long nothing has been heard from this exchange on any connection, in milliseconds."""
+        return (time.monotonic_ns() - self.heard_ns) // MS if self.heard_ns else -1
+
+    def heard(self, line: ExchangeLine) -> None:
+        if self.is_silent:
+            self.is_silent = False
+            log.info("exchange heard again", silent_ms=self.silent_ms(), **self.facts(line))
+        self.heard_ns = line.heard_ns
+
+    def log_silence(self, now_ns: int, mute: int) -> None:
+        """One entry when an exchange falls silent; `heard` writes the one when it is back."""
+        if mute and not self.is_silent and now_ns - self.heard_ns > SILENT_NS:
+            self.is_silent = True
+            log.warning(
+                "exchange silent",
+                exchange=self.exchange,
+                mute=mute,
+                connections=len(self.lines),
+                silent_ms=self.silent_ms(),
+            )
+
+    def lost(self, line: ExchangeLine, loss: ConnectionLoss) -> None:
         """The set-ups open on a connection end with it, and may have run; the next one is dialled at once."""
-        if not self.closed:
-            reason = str(exc) if exc is not None else "closed"
-            log.info("connection lost", exchange=self.exchange, reason=reason, set_ups=len(line.set_ups))
         was_known = line in self.lines
+        if was_known:
+            self.desk.connection_ended(loss)
+            if not self.closed:
+                log.info("exchange connection lost", reason=loss.value, **self.facts(line))
         if was_known:
             self.lines.remove(line)
         for call in sorted(line.set_ups):
@@ -266,10 +322,10 @@
         if late or self.closed:
             return  # we stood still ourselves, and what has come is not read yet
         mute = [line for line in self.lines if line.is_mute(now_ns)]
+        self.log_silence(now_ns, len(mute))
         for line in mute:
             if len(mute) < len(self.lines):  # else the machine may be cut off: closing proves nothing
-                log.warning("connection is mute, closed", exchange=self.exchange, set_ups=len(line.set_ups))
-                line.abort()
+                line.abort_as(ConnectionLoss.MUTE)
         quiet = all(now_ns - line.heard_ns > QUIET_NS for line in self.lines)
         spare = [line for line in self.lines if not line.set_ups]
         if self.lines and (quiet or len(mute) == len(self.lines)) and self.redial is None:
@@ -347,7 +403,7 @@
         self.shut()
         self.flush_queue()
         for line in list(self.lines):
-            line.abort()
+            line.abort_as(ConnectionLoss.CLOSED_BY_US)
 
     def shut(self) -> None:
         """The end of the program: what has been written still leaves."""
--- a/arrowkeel/net/line.py
+++ b/arrowkeel/net/line.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import fcntl
+import itertools
 import struct
 import termios
 import time
+from collections.abc import Callable
 from typing import Any, cast
 
 import structlog
@@ -16,6 +18,9 @@
 SPARSE_NS = 5_000_000_000  # one line of a kind in so long; how many were left out is told with the next
 
 
+connection_numbers = itertools.count(1)
+
+
 class SparseLog:
     """What bad input causes is logged now and then: a flood of it must not flood the log too."""
 
@@ -23,14 +28,20 @@
         self.log = structlog.get_logger()
         self.since: dict[str, tuple[int, int]] = {}  # by event: when it was last told, how many since
 
+    def info(self, event: str, **facts: Any) -> None:
+        self.write(self.log.info, event, facts)
+
     def warning(self, event: str, **facts: Any) -> None:
+        self.write(self.log.warning, event, facts)
+
+    def write(self, log: Callable[..., Any], event: str, facts: dict[str, Any]) -> None:
         now = time.monotonic_ns()
         told_ns, left_out = self.since.get(event, (-SPARSE_NS, 0))
         if now - told_ns < SPARSE_NS:
             self.since[event] = (told_ns, left_out + 1)
             return
         self.since[event] = (now, 0)
-        self.log.warning(event, left_out=left_out, **facts)
+        log(event, left_out=left_out, **facts)
 
 
 log = SparseLog()
@@ -41,6 +52,7 @@
 
     def __init__(self, side: str, unsent_limit: int) -> None:
         self.side = side
+        self.number = next(connection_numbers)  # names this connection in the log
         self.unsent_limit = unsent_limit  # bytes that the peer may leave unread
         self.decoder = Decoder()
         self.transport: asyncio.Transport | None = None
@@ -78,7 +90,9 @@
 
     def spoilt(self, reason: str) -> None:
         """What comes on this connection can't be told apart any more: it is closed."""
-        log.warning("malformed message, connection closed", side=self.side, reason=reason)
+        log.warning(
+            "malformed message, connection closed", side=self.side, connection=self.number, reason=reason
+        )
         self.abort()
 
     def take(self, message: Message) -> None:
@@ -90,7 +104,7 @@
             return False
         # A peer that has stopped reading must not fill our memory: what it would not read is given up.
         if self.transport.get_write_buffer_size() + len(data) > self.unsent_limit:
-            log.warning("peer stopped reading, connection closed", side=self.side)
+            log.warning("peer stopped reading, connection closed", side=self.side, connection=self.number)
             self.abort()
             return False
         self.transport.write(data)
--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -97,7 +97,7 @@
         return self.duty is Duty.READY
 
     def metrics(self) -> str:
-        return self.controller.metrics()
+        return self.controller.metrics_text()
 
     def standby(self) -> bool:
         """Callers are sent away: tests fail, and each connection goes once nothing is open on it."""
--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -320,7 +320,8 @@
         hold_until = min(aim_at - int(kind.aim_ns * (1 - HOLD_SHARE)), ends - 2 * TICK_NS)
         call = self.calls[event.call] = Call(event, aim_at, ends, now, hold_until, worth, kind.pools)
         if not event.transit and self.busy.shut(event.number_called, now):
-            self.refuse(call)  # a busy number is gapped by itself: its exchange is not curbed
+            # A busy number is gapped by itself: its exchange is not curbed.
+            self.refuse(call, it.RefusalReason.NUMBER_GAPPED)
         else:
             self.decide(call, now)
 
@@ -332,7 +333,23 @@
         elif self.worth_holding(call, now):
             self.held[call.id] = call
         else:
-            self.refuse(call)
+            self.refuse(call, self.refusal_reason(call, now))
+
+    def refusal_reason(self, call: Call, now: int) -> it.RefusalReason:
+        """What stood in the way of a call that is neither sent nor held; for logs and metrics."""
+        dest, tau = self.by_number.get(call.event.destination), self.tau(call)
+        if dest is None or not dest.serving or dest.number == self.settings.own_number:
+            return it.RefusalReason.NO_ROUTE
+        if call.attempts >= self.settings.attempt_limit:
+            return it.RefusalReason.ATTEMPTS_USED
+        if self.own.opens_at(now, tau) > now:
+            return it.RefusalReason.OWN_PROCESSOR
+        if dest.cpu.opens_at(now, tau) > now:
+            silent = dest.cpu.silent
+            return it.RefusalReason.FAR_SILENT if silent else it.RefusalReason.FAR_PROCESSOR
+        if not self.room(dest, call, 0.0):
+            return it.RefusalReason.NO_CIRCUIT
+        return it.RefusalReason.TOO_LATE
 
     def worth_holding(self, call: Call, now: int) -> bool:
         """Whether the call can still be sent, and stand, if it waits; else its caller is answered at once.
@@ -441,7 +458,7 @@
         self.own.take(now)
         self.out.append(it.SetUp(call.id, far.exchange))  # abandoned when the caller's patience ends
 
-    def refuse(self, call: Call) -> None:
+    def refuse(self, call: Call, reason: it.RefusalReason) -> None:
         """A redial can only stand late: asked to come as late as it may, it leaves room for fresh calls.
 
         After faults of the signalling at a processor that is not pressed there is nobody to make room for.
@@ -450,7 +467,7 @@
         soon = call.faulted and dest is not None and not self.pressed(dest)
         after = min(self.settings.release_ns, longest) if soon else longest
         advise = self.settings.may_advise_redial and not call.event.transit
-        self.forget(call.id, it.Refuse(call.id, after if advise else 0))
+        self.forget(call.id, it.Refuse(call.id, after if advise else 0, reason))
 
     def forget(self, call_id: str, *answer: it.Action) -> None:
         self.out.extend(answer)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -290,4 +290,3 @@
         program.process.wait(PATIENCE_S)
         if program.process.stdout is not None:
             program.process.stdout.close()
-
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -15,6 +15,7 @@
 from arrowkeel.net.codec import Code, Kind
 from arrowkeel.net.config import Address
 from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from arrowkeel.net.metrics import ConnectionLoss
 from tests.peers import CALL, OTHER, Exchange, Listener, Peer, config_of
 
 
@@ -23,7 +24,8 @@
 
     def __init__(self) -> None:
         self.told: asyncio.Queue[tuple[Any, ...]] = asyncio.Queue()
-        self.left = 0  # set-ups
+        self.left = self.failed_dials = 0
+        self.losses: list[ConnectionLoss] = []
 
     def set_up_left(self) -> None:
         self.left += 1
@@ -43,6 +45,12 @@
     def exchange_connected(self, pool: ExchangePool) -> None:
         self.told.put_nowait(("connected",))
 
+    def dial_failed(self) -> None:
+        self.failed_dials += 1
+
+    def connection_ended(self, loss: ConnectionLoss) -> None:
+        self.losses.append(loss)
+
     def exchange_died(self, pool: ExchangePool) -> None:
         self.told.put_nowait(("died",))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -50,15 +50,22 @@
     caller.expect(Kind.RELEASE, OTHER)
     caller.set_up(THIRD)
     program.exchange.expect(Kind.SET_UP, THIRD)
-    assert program.ask("GET", "/status/metrics")[1].splitlines() == [
-        "controller.passed.voice:1|c",
-        "controller.dropped.voice:1|c",
-        "controller.bad_gateway.voice:0|c",
-        "controller.upstream_tries:2|c",
-        "controller.in_progress:2|g",
-        "controller.known_exchanges:1|g",
-        "controller.skipped_exchanges:0|g",
-    ]
+    lines = program.ask("GET", "/status/metrics")[1].splitlines()
+    counters = {
+        name: int(value) for name, value in (line[:-2].split(":") for line in lines if line[-1] == "c")
+    }
+    gauges = {name: int(value) for name, value in (line[:-2].split(":") for line in lines if line[-1] == "g")}
+    assert len(lines) == len(counters) + len(gauges)
+    assert {name.removeprefix("controller."): count for name, count in counters.items() if count} == {
+        "passed.voice": 1,
+        "dropped.voice": 1,
+        "refusals.no_route": 1,
+        "upstream_tries": 2,
+    }
+    assert counters["controller.bad_gateway.voice"] == 0
+    wanted = {"in_progress": 2, "open_calls": 1, "standing_calls": 1, "known_exchanges": 1}
+    wanted |= {"skipped_exchanges": 0, "silent_exchanges": 0, "caller_connections": 1}
+    assert {name: gauges[f"controller.{name}"] for name in wanted} == wanted
 
 
 def test_standby_sends_callers_away_and_active_takes_them_back(program: Program) -> None:
@@ -105,9 +112,7 @@
     address = held.getsockname()
 
     async def run() -> None:
-        config = read_config(
-            json.dumps(scripted.config), Clock.now(), {"LB_ACCEPT_FD": str(held.detach())}
-        )
+        config = read_config(json.dumps(scripted.config), Clock.now(), {"LB_ACCEPT_FD": str(held.detach())})
         service = Service(config)
         await service.start()
         reader, writer = await asyncio.open_connection(*address)
