--- /dev/null
+++ b/arrowkeel/liveness.py
@@ -0,0 +1,161 @@
+"""Whether the process that holds the calls standing on one exchange can still be taken to be alive.
+
+Decisions only: no input or output and no clock. Times are integer nanoseconds of one monotonic clock.
+
+A machine that vanishes says nothing: its connections stay open, and whatever answers at its address later may
+be another process that knows none of its calls. Silence must therefore never count as life. Calls are held
+under a lease, which only evidence from the process that holds them renews:
+
+- anything heard on a connection that leads to that process;
+- anything heard on a connection of which it is shown that the same process has accepted it.
+
+Connections are grouped by the process behind them (`ProcessLease`). A new connection starts a group of its
+own. Two groups are merged once something shows that one process is behind both, as the methods of
+`ExchangeLiveness` tell.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+MS = 1_000_000
+# The protocol gives 8 s from a call's end to its release; the rest is for the sweep and a stalled machine. A
+# network cut of 6 s still leaves time for a dial before the lease ends.
+LEASE_NS = 7200 * MS
+# A process that starts anew needs about as long before it takes connections and holds as many calls again.
+RESTART_LEAST_NS = 500 * MS
+# How old the last evidence may be where the group's state vouches for a process: a dial after a quiet time
+# comes within it, a machine that was lost for 5 s does not return within it.
+VOUCH_NS = 4500 * MS
+
+
+@dataclass(frozen=True, slots=True)
+class GroupState:
+    """The circuits of the group to an exchange, as told on one connection."""
+
+    free: int
+    size: int
+
+    @property
+    def used(self) -> int:
+        return self.size - self.free
+
+
+@dataclass(eq=False, slots=True)
+class ProcessLease:
+    """The connections to one process of the exchange, and the calls that it holds."""
+
+    heard_ns: int
+    connections: dict[int, int] = field(default_factory=dict)  # open ones: number, when it was opened
+    calls: dict[str, int] = field(default_factory=dict)  # standing ones: id, circuits
+    state: GroupState | None = None  # as last told on any of its connections
+    ended_by_peer_ns: int = 0  # when the last connection was ended by the other side
+
+    @property
+    def circuits(self) -> int:
+        return sum(self.calls.values())
+
+    def expires_ns(self) -> int:
+        return self.heard_ns + LEASE_NS
+
+
+class ExchangeLiveness:
+    """The leases of all processes that have answered at one exchange's address and still matter."""
+
+    def __init__(self, is_mesh: bool) -> None:
+        self.is_mesh = is_mesh  # only there does a group's state tell of this controller's own calls
+        self.leases: list[ProcessLease] = []  # the earliest first
+
+    def lease_of(self, connection: int) -> ProcessLease | None:
+        return next((lease for lease in self.leases if connection in lease.connections), None)
+
+    def has_calls(self) -> bool:
+        return any(lease.calls for lease in self.leases)
+
+    def opened(self, connection: int, now_ns: int) -> None:
+        self.leases.append(ProcessLease(now_ns, {connection: now_ns}))
+
+    def closed(self, connection: int, now_ns: int, by_peer: bool) -> None:
+        lease = self.lease_of(connection)
+        if lease is None:
+            return
+        del lease.connections[connection]
+        lease.ended_by_peer_ns = now_ns if by_peer else 0
+        self.forget_empty()
+
+    def heard(self, connection: int, now_ns: int) -> None:
+        """Renews a lease; the process is alive now, so it has accepted whatever was opened since as well."""
+        lease = self.lease_of(connection)
+        if lease is None:
+            return
+        lease.heard_ns = now_ns
+        opened_ns = lease.connections[connection]
+        for other in [other for other in self.leases if other is not lease]:
+            if any(later_ns > opened_ns for later_ns in other.connections.values()):
+                self.merge(lease, other)
+
+    def established(self, connection: int, call: str, circuits: int) -> None:
+        lease = self.lease_of(connection)
+        if lease is not None:
+            lease.calls[call] = circuits
+
+    def ended(self, call: str) -> None:
+        for lease in self.leases:
+            lease.calls.pop(call, None)
+        self.forget_empty()
+
+    def completed(self, connection: int, call: str) -> None:
+        """A normal end told here: only the process that held the call knows of it."""
+        here = self.lease_of(connection)
+        holder = next((lease for lease in self.leases if call in lease.calls), None)
+        if here is not None and holder is not None and holder is not here:
+            self.merge(holder, here)
+
+    def state_told(self, connection: int, state: GroupState, now_ns: int) -> None:
+        """Where the state fits what an earlier process held, and too little time has passed for another one.
+
+        A process that has just started holds no calls; the group's state tells how many circuits are taken.
+        """
+        here = self.lease_of(connection)
+        if here is None:
+            return
+        here.state = state
+        if not self.is_mesh:
+            return
+        for earlier in [lease for lease in self.leases if lease is not here and lease.calls]:
+            if self.vouches(state, earlier, now_ns):
+                self.merge(earlier, here)
+                here = earlier
+
+    def vouches(self, state: GroupState, earlier: ProcessLease, now_ns: int) -> bool:
+        if state.used < earlier.circuits or now_ns - earlier.heard_ns > VOUCH_NS:
+            return False
+        if earlier.connections:  # open and quiet: had anything changed, it would have been told there too
+            return state == earlier.state
+        return now_ns - earlier.ended_by_peer_ns < RESTART_LEAST_NS
+
+    def is_witness(self, connection: int) -> bool:
+        """Whether this is the only connection known to lead to a process that holds calls."""
+        lease = self.lease_of(connection)
+        return lease is not None and bool(lease.calls) and len(lease.connections) == 1
+
+    def take_expired(self, now_ns: int) -> list[str]:
+        """The calls whose lease has ended, in the order of their ids; they are forgotten here."""
+        expired: list[str] = []
+        for lease in self.leases:
+            if lease.calls and now_ns > lease.expires_ns():
+                expired += lease.calls
+                lease.calls.clear()
+        self.forget_empty()
+        return sorted(expired)
+
+    def merge(self, lease: ProcessLease, other: ProcessLease) -> None:
+        """Both groups lead to one process."""
+        if other.heard_ns >= lease.heard_ns:
+            lease.heard_ns, lease.state = other.heard_ns, other.state or lease.state
+        lease.connections |= other.connections
+        lease.calls |= other.calls
+        self.leases.remove(other)
+
+    def forget_empty(self) -> None:
+        self.leases = [lease for lease in self.leases if lease.connections or lease.calls]
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -16,7 +16,7 @@
 from arrowkeel.net.changelog import ChangeLog
 from arrowkeel.net.codec import Clear
 from arrowkeel.net.config import MS, Config, News
-from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from arrowkeel.net.exchanges import ExchangeLine, ExchangePool, SetUpOrder
 from arrowkeel.net.metrics import ConnectionLoss, Metrics, ReleaseReason
 from arrowkeel.policy import Policy
 
@@ -250,6 +250,7 @@
             self.described -= len(record.offer.description)
         elif record.pool is not None:
             self.stood_at.get(record.pool.exchange, set()).discard(call)
+            record.pool.liveness.ended(call)
         return record
 
     def fail(self, call: str, record: CallRecord) -> None:
@@ -383,8 +384,8 @@
         record.pool = None
         self.tell(replace(outcome, cause=cause, told_wait_ns=wait_ns, report=report))
 
-    def stood(self, pool: ExchangePool, call: str, description: bytes) -> None:
-        record = self.calls.get(call)
+    def stood(self, line: ExchangeLine, call: str, description: bytes) -> None:
+        record, pool = self.calls.get(call), line.pool
         if record is None or record.pool is not pool or record.stood_ns:
             return
         now = time.monotonic_ns()
@@ -403,6 +404,7 @@
         log.debug("call stands", call=call, exchange=pool.exchange, connection=record.line.number)
         self.metrics.passed[record.offer.class_name] += 1
         self.stood_at.setdefault(pool.exchange, set()).add(call)
+        pool.liveness.established(line.number, call, record.offer.width)
         self.tell(it.CallStood(call, record.attempts - 1, pool.exchange, now - record.sent_ns))
 
     def exchange_ended(self, pool: ExchangePool, call: str, cause: int, report: it.Report | None) -> None:
@@ -443,15 +445,24 @@
     def cut_standing(self, pool: ExchangePool, before_ns: int, reason: ReleaseReason) -> None:
         """A process that is gone has cut its calls and may have told nobody: their callers are."""
         standing = sorted(self.stood_at.get(pool.exchange, ()))
-        cut = [call for call in standing if self.calls[call].stood_ns < before_ns]
+        self.cut(pool, [call for call in standing if self.calls[call].stood_ns < before_ns], reason)
+
+    def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None:
+        """The process that holds these calls may be alive and cut off: it is told too, once it can be."""
+        self.cut(pool, calls, ReleaseReason.LEASE_EXPIRED)
+        for call in calls:
+            pool.release(call, Clear.TEMPORARY_FAILURE)
+
+    def cut(self, pool: ExchangePool, cut: list[str], reason: ReleaseReason) -> None:
         if not cut:
             return
+        standing = len(self.stood_at.get(pool.exchange, ()))
         log.warning(
             "standing calls released",
             exchange=pool.exchange,
             reason=reason.value,
             released=len(cut),
-            kept=len(standing) - len(cut),
+            kept=standing - len(cut),
             silent_ms=pool.silent_ms(),
             first_calls=cut[:CALLS_LOGGED],
         )
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -11,12 +11,14 @@
 
 from arrowkeel import interface as it
 from arrowkeel import wire
+from arrowkeel.liveness import ExchangeLiveness, GroupState
 from arrowkeel.net.codec import Clear, Code, Kind, MalformedMessageError, Message, encode
 from arrowkeel.net.config import MS, Address, Config
 from arrowkeel.net.line import Line, SparseLog
 from arrowkeel.net.metrics import ConnectionLoss
 
 REDIAL_FIRST_NS, REDIAL_MOST_NS = 50 * MS, 1000 * MS  # between dials to an exchange that takes none
+REDIAL_WATCHED_NS = 250 * MS  # the most while calls stand there: their lease runs
 DEAD_AFTER_NS = 2000 * MS  # lost and then refused for so long: its process is gone, and its calls with it
 LINES_KEPT, LINES_MOST = 2, 4  # connections to one exchange: usually, and with those that are to replace one
 # A set-up takes a circuit, and the group's state comes at once on each connection: one that brings nothing
@@ -52,7 +54,7 @@
     """What the controller does for connections to exchanges, whatever protocol they speak."""
 
     def set_up_left(self) -> None: ...
-    def stood(self, pool: ExchangePool, call: str, description: bytes) -> None: ...
+    def stood(self, line: ExchangeLine, call: str, description: bytes) -> None: ...
     def attempt_ended(
         self,
         call: str,
@@ -67,6 +69,7 @@
     def exchange_died(self, pool: ExchangePool) -> None: ...
     def dial_failed(self) -> None: ...
     def connection_ended(self, loss: ConnectionLoss) -> None: ...
+    def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None: ...
 
 
 class ExchangeLine(Line):
@@ -83,6 +86,10 @@
         self.behind_ns = 0  # since when another line knows a state that this one does not
         self.loss: ConnectionLoss | None = None  # why it ends, where we end it
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self.pool.liveness.opened(self.number, time.monotonic_ns())
+
     def connection_lost(self, exc: Exception | None) -> None:
         loss = self.loss or (ConnectionLoss.CLOSED_BY_PEER if exc is None else ConnectionLoss.RESET)
         self.pool.lost(self, loss)
@@ -114,7 +121,7 @@
                     if description is None:
                         raise MalformedMessageError(f"parameter {Code.DESCRIPTION.value}: missing")
                     self.set_ups.discard(call)
-                    pool.desk.stood(pool, call, description)
+                    pool.desk.stood(self, call, description)
             case Kind.RELEASE:
                 cause, report = message.cause(), self.report(message)
                 note = NOTES.get(message.text(Code.NOTE, ""), 0)
@@ -123,6 +130,8 @@
                     ending = ENDINGS.get(cause, it.Ending.NUMBER_BUSY)
                     pool.desk.attempt_ended(call, ending, *wire.read_cause(note), report)
                 else:
+                    if cause == Clear.NORMAL:
+                        pool.liveness.completed(self.number, call)
                     pool.desk.exchange_ended(pool, call, cause, report)
             case Kind.GROUP_STATE:
                 report = self.report(message)
@@ -163,8 +172,10 @@
         self.connected_at_ns = 0
         self.lost_at_ns = 0  # when the last connection was lost, until the next one is open
         self.swept_ns = 0
+        self.was_late = False  # the latest sweep came long after the one before
         self.heard_ns = 0  # when anything was last heard, on any connection
         self.is_silent = False  # as the log was last told
+        self.liveness = ExchangeLiveness(config.settings.is_mesh)
         self.told_state: bytes | None = None  # the group's state as the module was last told
         self.queue: dict[str, SetUpOrder] = {}
         self.kept: dict[str, int] = {}  # releases for the next connection, with their causes
@@ -239,7 +250,11 @@
 
     def dial_later(self) -> None:
         if not self.closed and self.redial is None:
-            gap, self.redial_gap_ns = self.redial_gap_ns, min(2 * self.redial_gap_ns, REDIAL_MOST_NS)
+            most_ns = REDIAL_WATCHED_NS if self.liveness.has_calls() else REDIAL_MOST_NS
+            gap, self.redial_gap_ns = (
+                min(self.redial_gap_ns, most_ns),
+                min(2 * self.redial_gap_ns, REDIAL_MOST_NS),
+            )
             self.redial = asyncio.get_running_loop().call_later(gap / 1e9, self.dial)
 
     def facts(self, line: ExchangeLine) -> dict[str, object]:
@@ -257,6 +272,7 @@
         return (time.monotonic_ns() - self.heard_ns) // MS if self.heard_ns else -1
 
     def heard(self, line: ExchangeLine) -> None:
+        self.liveness.heard(line.number, line.heard_ns)
         if self.is_silent:
             self.is_silent = False
             log.info("exchange heard again", silent_ms=self.silent_ms(), **self.facts(line))
@@ -264,7 +280,8 @@
 
     def log_silence(self, now_ns: int, mute: int) -> None:
         """One entry when an exchange falls silent; `heard` writes the one when it is back."""
-        if mute and not self.is_silent and now_ns - self.heard_ns > SILENT_NS:
+        silent_ns = now_ns - self.heard_ns if self.heard_ns else 0
+        if not self.is_silent and silent_ns > (SILENT_NS if mute else QUIET_NS + self.dial_ns):
             self.is_silent = True
             log.warning(
                 "exchange silent",
@@ -276,6 +293,8 @@
 
     def lost(self, line: ExchangeLine, loss: ConnectionLoss) -> None:
         """The set-ups open on a connection end with it, and may have run; the next one is dialled at once."""
+        by_peer = loss in (ConnectionLoss.CLOSED_BY_PEER, ConnectionLoss.RESET)
+        self.liveness.closed(line.number, time.monotonic_ns(), by_peer)
         was_known = line in self.lines
         if was_known:
             self.desk.connection_ended(loss)
@@ -309,6 +328,9 @@
         The module hears it once. A second copy would undo what it has counted off for set-ups sent since.
         """
         line.behind_ns = 0
+        if report is not None and report.free_circuits is not None and report.group_size:
+            state = GroupState(report.free_circuits, report.group_size)
+            self.liveness.state_told(line.number, state, line.heard_ns)
         for other in self.lines:
             if other is not line:
                 other.behind_ns = 0 if other.state == line.state else other.behind_ns or line.heard_ns
@@ -318,16 +340,24 @@
 
     def sweep(self, now_ns: int) -> None:
         """Replace what is mute or has long been quiet; its calls would wait, and their releases be lost."""
-        late, self.swept_ns = now_ns - self.swept_ns > MUTE_NS, now_ns
-        if late or self.closed:
-            return  # we stood still ourselves, and what has come is not read yet
+        was_late, self.was_late = self.was_late, now_ns - self.swept_ns > MUTE_NS
+        self.swept_ns = now_ns
+        if self.closed or (self.was_late and not was_late):
+            return  # we stood still ourselves, and what has come is read before the next sweep
+        if expired := self.liveness.take_expired(now_ns):
+            self.desk.leases_expired(self, expired)
         mute = [line for line in self.lines if line.is_mute(now_ns)]
         self.log_silence(now_ns, len(mute))
         for line in mute:
-            if len(mute) < len(self.lines):  # else the machine may be cut off: closing proves nothing
+            # All mute, the machine may be cut off: closing proves nothing. One that alone leads to a process
+            # with standing calls may show, once it speaks again, that this process lives.
+            is_needed = not line.set_ups and self.liveness.is_witness(line.number)
+            if len(mute) < len(self.lines) and not is_needed:
                 line.abort_as(ConnectionLoss.MUTE)
         quiet = all(now_ns - line.heard_ns > QUIET_NS for line in self.lines)
-        spare = [line for line in self.lines if not line.set_ups]
+        spare = [
+            line for line in self.lines if not line.set_ups and not self.liveness.is_witness(line.number)
+        ]
         if self.lines and (quiet or len(mute) == len(self.lines)) and self.redial is None:
             self.dial()
         elif len(self.lines) > LINES_KEPT and spare:
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -21,6 +21,7 @@
 
     DELISTED = "delisted"  # the list of exchanges says that the exchange is gone or replaced
     RESTARTED = "restarted"  # the list says that its process started after the call stood
+    LEASE_EXPIRED = "lease_expired"  # nothing has shown for too long that the process holding it is alive
     REFUSING = "refusing"  # its connections were lost and new ones are refused
 
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -121,6 +121,7 @@
         self.address = self.listener.address
         self.lines: list[Peer] = []
         self.line_of: dict[str, Peer] = {}
+        self.state = STATE
         self.mute: Peer | None = None  # looks open and says nothing
         self.opened: queue.Queue[Peer] = queue.Queue()
         self.came: queue.Queue[tuple[Peer, Message]] = queue.Queue()
@@ -143,7 +144,7 @@
         for line in lines:
             if line is not self.mute:
                 with suppress(OSError):
-                    line.send(Kind.GROUP_STATE, "0" * 16, STATE)
+                    line.send(Kind.GROUP_STATE, "0" * 16, self.state)
 
     def read(self, line: Peer) -> None:
         while (message := line.receive()) is not None:
--- a/tests/standins/fault_proxy.py
+++ b/tests/standins/fault_proxy.py
@@ -81,7 +81,7 @@
         self.listener.setblocking(False)
         self.host, self.port = self.listener.getsockname()
         self.links: list[Link] = []
-        self.orphans: list[Link] = []  # the peer's end has gone while the network was cut
+        self.orphans: list[tuple[Link, ProxiedEnd, Exception | None]] = []  # gone while the network was cut
         self.fillers: list[socket.socket] = []
         self.is_cut = False
         self.accepting: asyncio.Task[None] | None = None
@@ -104,13 +104,13 @@
             try:
                 await loop.create_connection(partial(ProxiedEnd.itself, far), *self.target)
             except OSError:
-                self.links.remove(link)
                 link.reset_near()
+            if link.near.ended:  # while the other side was dialled
+                link.close()
 
     def end_reached(self, link: Link, end: ProxiedEnd, exc: Exception | None) -> None:
         if self.is_cut:
-            if end is link.far:
-                self.orphans.append(link)
+            self.orphans.append((link, end, exc))
             return
         if link in self.links:
             self.links.remove(link)
@@ -144,10 +144,8 @@
             filler.close()
         self.fillers.clear()
         orphans, self.orphans = self.orphans, []
-        for link in orphans:
-            if link in self.links:
-                self.links.remove(link)
-            link.reset_near()
+        for orphan in orphans:
+            self.end_reached(*orphan)
         for link in self.links:
             link.near.flush()
             link.far.flush()
@@ -164,7 +162,7 @@
             self.accepting.cancel()
         for filler in self.fillers:
             filler.close()
-        for link in [*self.links, *self.orphans]:
+        for link in self.links:
             link.close()
         self.listener.close()
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -14,7 +14,7 @@
 from arrowkeel.net import exchanges
 from arrowkeel.net.codec import Code, Kind
 from arrowkeel.net.config import Address
-from arrowkeel.net.exchanges import ExchangePool, SetUpOrder
+from arrowkeel.net.exchanges import ExchangeLine, ExchangePool, SetUpOrder
 from arrowkeel.net.metrics import ConnectionLoss
 from tests.peers import CALL, OTHER, Exchange, Listener, Peer, config_of
 
@@ -33,7 +33,7 @@
     def attempt_ended(self, call: str, ending: it.Ending, *_: Any) -> None:
         self.told.put_nowait(("ended", call, ending))
 
-    def stood(self, pool: ExchangePool, call: str, description: bytes) -> None:
+    def stood(self, line: ExchangeLine, call: str, description: bytes) -> None:
         self.told.put_nowait(("stood", call))
 
     def exchange_ended(self, pool: ExchangePool, call: str, cause: int, report: it.Report | None) -> None:
@@ -51,6 +51,9 @@
     def connection_ended(self, loss: ConnectionLoss) -> None:
         self.losses.append(loss)
 
+    def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None:
+        self.told.put_nowait(("expired", calls))
+
     def exchange_died(self, pool: ExchangePool) -> None:
         self.told.put_nowait(("died",))
 
--- a/tests/test_vanished_exchange.py
+++ b/tests/test_vanished_exchange.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from arrowkeel.net.codec import Kind
-from tests.peers import CALL, OTHER, Program, event, instance, running
+from arrowkeel.net.codec import Clear, Code, Kind
+from tests.peers import CALL, OTHER, Peer, Program, event, instance, running
 from tests.standins.fault_proxy import FaultProxy, threaded
 
 RELEASE_LIMIT_S = 8.0  # the protocol's limit from a call's end to the release towards its caller
@@ -32,18 +32,60 @@
     between: tuple[Program, Network], discovery: str
 ) -> None:
     program, (proxy, run) = between
-    caller = program.caller()
-    caller.socket.settimeout(RELEASE_LIMIT_S + 1.0)
-    program.standing(caller)
-    program.standing(caller, OTHER)
+    caller = two_standing(program)
     if discovery == "down":
         program.changelog.socket.close()
         program.news.socket.close()
     with program.heartbeat() if discovery == "follows" else nullcontext():
         run(proxy.cut)
-        vanished = time.monotonic()
-        released = [caller.receive() for _ in range(2)]
-    took_s = time.monotonic() - vanished
+        expect_both_released(caller, since=time.monotonic())
+
+
+def test_calls_of_a_machine_that_returns_as_a_new_process_are_released_in_time(
+    between: tuple[Program, Network],
+) -> None:
+    """Its connections come up again and tell of an idle group; nobody tells of the calls that it has cut."""
+    program, (proxy, run) = between
+    caller = two_standing(program)
+    run(proxy.cut)
+    vanished = time.monotonic()
+    program.exchange.state = {Code.REPORT: "idle:60;circuits:60;max_rate:-1"}
+    program.exchange.drop(*program.exchange.lines, reset=True)
+    time.sleep(4.0)
+    run(proxy.heal)
+    expect_both_released(caller, since=vanished)
+
+
+@pytest.mark.parametrize("trouble", ["cut for six seconds", "all connections reset", "quiet for long"])
+def test_calls_of_a_process_that_lives_on_are_not_released(
+    between: tuple[Program, Network], trouble: str
+) -> None:
+    program, (proxy, run) = between
+    caller = two_standing(program)
+    if trouble == "cut for six seconds":
+        run(proxy.cut)
+        time.sleep(6.0)
+        program.exchange.tell(*program.exchange.lines)  # as the circuits of the group change
+        run(proxy.heal)
+    elif trouble == "all connections reset":
+        run(proxy.reset_all)
+    time.sleep(RELEASE_LIMIT_S + 1.0)
+    for call in (CALL, OTHER):
+        program.exchange.release(call, Clear.NORMAL)
+        assert caller.expect(Kind.RELEASE, call).cause() == Clear.NORMAL
+
+
+def two_standing(program: Program) -> Peer:
+    caller = program.caller()
+    caller.socket.settimeout(RELEASE_LIMIT_S + 1.0)
+    program.standing(caller)
+    program.standing(caller, OTHER)
+    return caller
+
+
+def expect_both_released(caller: Peer, since: float) -> None:
+    released = [caller.receive() for _ in range(2)]
+    took_s = time.monotonic() - since
     assert {(message.kind, message.call) for message in released if message is not None} == {
         (Kind.RELEASE, CALL),
         (Kind.RELEASE, OTHER),
