Let a refused dial vouch for the process behind an open connection

Change: a refusal soon after the last evidence, with no dial timed out since and a connection open that is not mute, renews the lease. Ruled out: late connections as the cause (the dials were refused, not late).

--- a/arrowkeel/liveness.py
+++ b/arrowkeel/liveness.py
@@ -7,7 +7,8 @@
 under a lease, which only evidence from the process that holds them renews:
 
 - anything heard on a connection that leads to that process;
-- anything heard on a connection of which it is shown that the same process has accepted it.
+- anything heard on a connection of which it is shown that the same process has accepted it;
+- a refused dial while a connection to that process is open, soon after it was last heard.
 
 Connections are grouped by the process behind them (`ProcessLease`). A new connection starts a group of its
 own. Two groups are merged once something shows that one process is behind both, as the methods of
@@ -16,6 +17,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 MS = 1_000_000
@@ -50,6 +52,7 @@
     calls: dict[str, int] = field(default_factory=dict)  # standing ones: id, circuits
     state: GroupState | None = None  # as last told on any of its connections
     ended_by_peer_ns: int = 0  # when the last connection was ended by the other side
+    unreached: bool = False  # a dial has timed out since anything was heard
 
     @property
     def circuits(self) -> int:
@@ -88,7 +91,7 @@
         lease = self.lease_of(connection)
         if lease is None:
             return
-        lease.heard_ns = now_ns
+        lease.heard_ns, lease.unreached = now_ns, False
         opened_ns = lease.connections[connection]
         for other in [other for other in self.leases if other is not lease]:
             if any(later_ns > opened_ns for later_ns in other.connections.values()):
@@ -134,6 +137,25 @@
             return state == earlier.state
         return now_ns - earlier.ended_by_peer_ns < RESTART_LEAST_NS
 
+    def dial_timed_out(self) -> None:
+        """The machine may be gone, and what answers later may be another process."""
+        for lease in self.leases:
+            lease.unreached = True
+
+    def dial_refused(self, connections: Collection[int], now_ns: int) -> bool:
+        """Whether the refusal vouches for a process, as for one that drains and takes no more.
+
+        The machine is up, and a process that dies there ends its connections: one that is open, and not mute
+        (`connections`), has a process behind it. Harm: one that died while a short network cut hid the end of
+        its connections holds its calls until the list of exchanges tells.
+        """
+        vouched = False
+        for lease in self.leases:
+            is_recent = now_ns - lease.heard_ns <= VOUCH_NS and not lease.unreached
+            if is_recent and any(connection in lease.connections for connection in connections):
+                lease.heard_ns, vouched = now_ns, True
+        return vouched
+
     def is_witness(self, connection: int) -> bool:
         """Whether this is the only connection known to lead to a process that holds calls."""
         lease = self.lease_of(connection)
--- a/arrowkeel/net/exchanges.py
+++ b/arrowkeel/net/exchanges.py
@@ -174,6 +174,7 @@
         self.swept_ns = 0
         self.was_late = False  # the latest sweep came long after the one before
         self.heard_ns = 0  # when anything was last heard, on any connection
+        self.vouched_ns = 0  # when a refused dial last showed that the process behind open connections lives
         self.is_silent = False  # as the log was last told
         self.liveness = ExchangeLiveness(config.settings.is_mesh)
         self.told_state: bytes | None = None  # the group's state as the module was last told
@@ -241,12 +242,20 @@
         self.desk.dial_failed()
         for call in queue:
             self.desk.attempt_ended(call, it.Ending.NO_CONNECTION)
-        lost_for_ns = time.monotonic_ns() - self.lost_at_ns if self.lost_at_ns else 0
+        now = time.monotonic_ns()
+        lost_for_ns = now - self.lost_at_ns if self.lost_at_ns else 0
         if failure == "refused" and lost_for_ns > DEAD_AFTER_NS:
             # Guards against calls that nobody will release any more: their process has died.
             self.lost_at_ns = 0
             self.desk.exchange_died(self)
-        self.dial_later()
+        if failure == "timed out":
+            self.liveness.dial_timed_out()
+        if failure == "refused" and self.liveness.dial_refused([line.number for line in self.usable()], now):
+            self.vouched_ns = (
+                now  # its connections are quiet, not lost: the next dial is due when they still are
+            )
+        else:
+            self.dial_later()
 
     def dial_later(self) -> None:
         if not self.closed and self.redial is None:
@@ -280,7 +289,7 @@
 
     def log_silence(self, now_ns: int, mute: int) -> None:
         """One entry when an exchange falls silent; `heard` writes the one when it is back."""
-        silent_ns = now_ns - self.heard_ns if self.heard_ns else 0
+        silent_ns = now_ns - max(self.heard_ns, self.vouched_ns) if self.heard_ns else 0
         if not self.is_silent and silent_ns > (SILENT_NS if mute else QUIET_NS + self.dial_ns):
             self.is_silent = True
             log.warning(
@@ -354,7 +363,7 @@
             is_needed = not line.set_ups and self.liveness.is_witness(line.number)
             if len(mute) < len(self.lines) and not is_needed:
                 line.abort_as(ConnectionLoss.MUTE)
-        quiet = all(now_ns - line.heard_ns > QUIET_NS for line in self.lines)
+        quiet = now_ns - max(self.heard_ns, self.vouched_ns) > QUIET_NS
         spare = [
             line for line in self.lines if not line.set_ups and not self.liveness.is_witness(line.number)
         ]
--- a/tests/test_liveness.py
+++ b/tests/test_liveness.py
@@ -114,3 +114,23 @@
     assert liveness.is_witness(FIRST)
     liveness.ended(CALL)
     assert not liveness.is_witness(FIRST)
+
+
+@pytest.mark.parametrize(
+    ("after_ns", "timed_out", "usable", "lives"),
+    [
+        (3000 * MS, False, [FIRST], True),  # as a draining process that takes no connections any more
+        (VOUCH_NS + 20 * MS, False, [FIRST], False),  # the machine may have gone and come back
+        (3000 * MS, True, [FIRST], False),  # it was out of reach
+        (3000 * MS, False, [], False),  # both connections are mute
+    ],
+)
+def test_a_refused_dial_may_vouch_for_the_process_behind_an_open_connection(
+    after_ns: int, timed_out: bool, usable: list[int], lives: bool
+) -> None:
+    liveness, now = standing(), START + after_ns
+    if timed_out:
+        liveness.dial_timed_out()
+    assert liveness.dial_refused(usable, now) is lives
+    assert liveness.take_expired(START + 10 + LEASE_NS + 1) == ([] if lives else [CALL])
+    assert liveness.take_expired(now + LEASE_NS + 1) == ([CALL] if lives else [])
