Answer all before SIGKILL, keep connections with standing calls, split the net modules

Change: departure.py decides from when set-ups are refused, which connections may close and when all is answered; releases that cross an end go again. exchanges.py and controller.py are split, and door, desk, line, news and stood renamed.

--- a/arrowkeel/__main__.py
+++ b/arrowkeel/__main__.py
@@ -46,7 +46,7 @@
         loop.add_signal_handler(number, service.stop)
     loop.add_signal_handler(signal.SIGHUP, reload, service.controller)
     await service.start()
-    log.info("started", name=config.name, listen=service.listening, operator=service.door.listening)
+    log.info("started", name=config.name, listen=service.listening, operator=service.operator_api.listening)
     await service.finished
     await service.finish()
     log.info("stopped")
--- a/arrowkeel/drill.py
+++ b/arrowkeel/drill.py
@@ -11,7 +11,7 @@
 REMEMBERED = 50_000  # calls and exchanges an agent is held to know, so that a long run needs no more memory
 
 
-class Known:
+class RecentNames:
     """Names met, the latest only: what was met long ago is forgotten."""
 
     def __init__(self, most: int = REMEMBERED) -> None:
@@ -37,7 +37,7 @@
     def __init__(self, policy: Policy, report_names: tuple[str, ...]) -> None:
         self.policy = policy
         self.report_names = report_names
-        self.known, self.calls = Known(), Known()
+        self.known, self.calls = RecentNames(), RecentNames()
         self.events: list[it.Event] = []
 
 
@@ -140,12 +140,12 @@
         event = wire.read_event(name, fields, agent.report_names)
         if event is None:
             return
-        if isinstance(event, it.CallStood | it.ProbeAnswer) and event.exchange not in agent.known:
+        if isinstance(event, it.CallEstablished | it.ProbeAnswer) and event.exchange not in agent.known:
             raise wire.MalformedError(f"field exchange: {event.exchange!r} is in no list of this instance")
         if isinstance(event, it.CallOffered):
             agent.calls.add(event.call)
         elif (
-            isinstance(event, it.CallStood | it.AttemptEnded | it.CallerLeft)
+            isinstance(event, it.CallEstablished | it.AttemptEnded | it.CallerLeft)
             and event.call not in agent.calls
         ):
             raise wire.MalformedError(f"field msgId: {event.call} was never given to this instance")
--- a/arrowkeel/interface.py
+++ b/arrowkeel/interface.py
@@ -195,7 +195,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallStood:
+class CallEstablished:
     call: str
     attempt: int
     exchange: str
@@ -242,7 +242,14 @@
 
 
 Event = (
-    ExchangeList | CallOffered | CallStood | AttemptEnded | CallerLeft | ProbeAnswer | TimerRang | PeerMessage
+    ExchangeList
+    | CallOffered
+    | CallEstablished
+    | AttemptEnded
+    | CallerLeft
+    | ProbeAnswer
+    | TimerRang
+    | PeerMessage
 )
 
 
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from arrowkeel.net.codec import NO_CALL, Clear, Code, Kind, MalformedMessageError, Message, encode
+from arrowkeel.net.codec import NO_CALL, Code, Kind, MalformedMessageError, Message, ReleaseCause, encode
 from arrowkeel.net.codec import whole_number as read_whole
-from arrowkeel.net.line import Line, log
+from arrowkeel.net.connection import MessageConnection, SentRelease, log
 
 MS = 1_000_000
 MOST_PATIENCE_MS = 3_600_000  # no caller waits an hour: a longer figure is cut to that
@@ -20,6 +20,9 @@
 BAD_SET_UPS_LIMIT = 16  # on one connection; beyond it the connection goes once no good call is open there
 
 
+RELEASES_HELD = 1024  # of those that a connection may lose as its caller ends it
+
+
 @dataclass(frozen=True, slots=True)
 class Offer:
     """A set-up as a caller sent it; the call's end is absolute from here on."""
@@ -37,17 +40,17 @@
     description: bytes
 
 
-class CallerDesk(Protocol):
+class CallerHandler(Protocol):
     """What the controller does for connections from callers, whatever protocol they speak."""
 
     @property
     def takes_calls(self) -> bool: ...
-    def caller_connected(self, line: CallerLine) -> None: ...
-    def caller_spoke(self, line: CallerLine) -> None: ...
-    def caller_lost(self, line: CallerLine) -> None: ...
-    def offered(self, line: CallerLine, offer: Offer) -> bool: ...
+    def caller_connected(self, connection: CallerConnection) -> None: ...
+    def caller_recognised(self, connection: CallerConnection) -> None: ...
+    def caller_lost(self, connection: CallerConnection) -> None: ...
+    def offered(self, connection: CallerConnection, offer: Offer) -> bool: ...
     def caller_ended(self, call: str, cause: int) -> None: ...
-    def caller_broke(self, line: CallerLine, call: str) -> None: ...
+    def caller_broke(self, connection: CallerConnection, call: str) -> None: ...
 
 
 def read_offer(message: Message) -> Offer:
@@ -87,23 +90,25 @@
     )
 
 
-class CallerLine(Line):
-    """One connection from callers; answers go back on the line that asked."""
+class CallerConnection(MessageConnection):
+    """One connection from callers; answers go back on the connection that asked."""
 
-    def __init__(self, desk: CallerDesk, unsent_limit: int) -> None:
+    def __init__(self, handler: CallerHandler, unsent_limit: int) -> None:
         super().__init__("caller", unsent_limit)
-        self.desk = desk
-        self.open_calls: set[str] = set()
+        self.handler = handler
+        self.open_calls: set[str] = set()  # set up here, without their final answer yet
+        self.standing_calls: set[str] = set()  # set up here and not over
+        self.releases: dict[str, SentRelease] = {}  # of standing calls, the latest written here
         self.taken = self.bad = 0  # set-ups that were offered on, that were not
-        self.spoke = False  # of a call, as callers do; those that only test whether we are there do not
+        self.has_carried_calls = False  # as callers' do; those that only test whether we are there do not
         self.heard_at_ns = self.connected_at_ns = time.monotonic_ns()
 
     def connection_made(self, transport: object) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
-        self.desk.caller_connected(self)
+        self.handler.caller_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.desk.caller_lost(self)
+        self.handler.caller_lost(self)
 
     def data_received(self, data: bytes) -> None:
         self.heard_at_ns = time.monotonic_ns()
@@ -116,10 +121,10 @@
             case _ if message.flaw:
                 raise MalformedMessageError(message.flaw)
             case Kind.RELEASE:
-                self.desk.caller_ended(message.call, message.cause())
-                self.speaks()
+                self.handler.caller_ended(message.call, message.cause())
+                self.recognise()
             case Kind.TEST:
-                result = TEST_PASSED if self.desk.takes_calls else TEST_FAILED
+                result = TEST_PASSED if self.handler.takes_calls else TEST_FAILED
                 self.write(encode(Kind.TEST_RESULT, message.call, {Code.CAUSE: result}))
             case Kind.PROGRESS | Kind.RELEASE_HEARD:
                 pass
@@ -133,27 +138,27 @@
         except MalformedMessageError as error:
             log.warning("bad set-up turned down", reason=str(error))
             if message.call in self.open_calls:
-                self.desk.caller_broke(self, message.call)
+                self.handler.caller_broke(self, message.call)
             else:
-                self.release(message.call, Clear.UNREADABLE)
+                self.release(message.call, ReleaseCause.UNREADABLE)
         else:
-            if self.desk.offered(self, offer):
+            if self.handler.offered(self, offer):
                 self.taken += 1
-                self.speaks()
+                self.recognise()
                 return
         self.bad += 1
         if self.bad > BAD_SET_UPS_LIMIT and not self.open_calls:
             self.close()
 
-    def speaks(self) -> None:
-        if not self.spoke:
-            self.spoke = True
-            self.desk.caller_spoke(self)
+    def recognise(self) -> None:
+        if not self.has_carried_calls:
+            self.has_carried_calls = True
+            self.handler.caller_recognised(self)
 
     def spoilt(self, reason: str) -> None:
         """Each call that is open here gets its final answer before the connection goes."""
         for call in sorted(self.open_calls):
-            self.desk.caller_broke(self, call)
+            self.handler.caller_broke(self, call)
         log.warning("caller's connection closed", reason=reason)
         self.close()
 
@@ -166,6 +171,8 @@
         if not self.is_open:
             if self.closing_since_ns and now_ns > self.closing_since_ns + LINGER_NS:
                 self.abort()
+        elif self.has_unread:
+            pass  # what has come is read first: it may be the set-up that was waited for
         elif self.half_since_ns and now_ns > self.half_since_ns + HALF_NS:
             self.spoilt("half a message, and no more")
         elif not self.taken and now_ns > self.connected_at_ns + self.first_set_up_ns:
@@ -175,13 +182,29 @@
         return self.write(encode(Kind.ANSWER, call, {Code.DESCRIPTION: description}))
 
     def refuse(self, call: str, redial_after_ns: int) -> None:
-        parameters: dict[int, bytes | str] = {Code.CAUSE: bytes((Clear.CONGESTION,))}
+        parameters: dict[int, bytes | str] = {Code.CAUSE: bytes((ReleaseCause.CONGESTION,))}
         if redial_after_ns > 0:
             parameters[Code.REDIAL_AFTER] = str(-(-redial_after_ns // MS))
         self.write(encode(Kind.RELEASE, call, parameters))
 
     def fail(self, call: str) -> None:
-        self.release(call, Clear.TEMPORARY_FAILURE)
+        self.release(call, ReleaseCause.TEMPORARY_FAILURE)
 
     def release(self, call: str, cause: int) -> bool:
         return self.write(encode(Kind.RELEASE, call, {Code.CAUSE: bytes((cause,))}))
+
+    def release_standing(self, call: str, cause: int) -> bool:
+        """Whether the release of a call that stood was written; it is held in case it goes unread."""
+        if not self.release(call, cause):
+            return False
+        self.releases.pop(call, None)
+        self.releases[call] = SentRelease(cause, time.monotonic_ns())
+        if len(self.releases) > RELEASES_HELD:
+            del self.releases[next(iter(self.releases))]
+        return True
+
+    def unread_releases(self, since_ns: int) -> dict[str, int]:
+        """The releases written since then, with their causes, where the caller has ended the connection."""
+        if self.closing_since_ns:
+            return {}  # closed here, after all that was written had left
+        return {call: release.cause for call, release in self.releases.items() if release.sent_ns > since_ns}
--- a/arrowkeel/net/changelog.py
+++ b/arrowkeel/net/changelog.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from arrowkeel.net.config import MS, Address, Clock, MalformedNewsError, News, read_news
+from arrowkeel.net.config import MS, Address, Clock, ListUpdate, MalformedListUpdateError, read_list_update
 
 # A line comes each second; two missing ones and a dial leave time within the 4 s that a stop is given.
 SILENCE_NS = 2200 * MS
@@ -19,7 +19,7 @@
 log = structlog.get_logger()
 
 
-class ChangeLine(asyncio.Protocol):
+class ChangeLogConnection(asyncio.Protocol):
     """One connection to the change log. What still comes on one that was dropped is not taken."""
 
     def __init__(self, follower: ChangeLog) -> None:
@@ -56,12 +56,12 @@
         self.buffer = bytearray(rest)
         try:
             if len(rest) > self.follower.line_limit:
-                raise MalformedNewsError("line too long")
+                raise MalformedListUpdateError("line too long")
             for line in lines:
                 if line.strip():
                     self.follower.take(line, self.is_first)
                     self.is_first = False
-        except MalformedNewsError as error:
+        except MalformedListUpdateError as error:
             log.warning("malformed change-log line, reconnecting", reason=str(error), last=self.follower.last)
             self.drop()
 
@@ -70,13 +70,13 @@
     """One follower; every connection asks for what came after the last number it has."""
 
     def __init__(
-        self, address: Address, last: int, clock: Clock, tell: Callable[[News], None], line_limit: int
+        self, address: Address, last: int, clock: Clock, tell: Callable[[ListUpdate], None], line_limit: int
     ) -> None:
         self.address, self.last, self.clock, self.tell = address, last, clock, tell
         self.line_limit = line_limit
         self.heard_at_ns = time.monotonic_ns()
         self.failures = 0  # connections that could not be made, or ended
-        self.line: ChangeLine | None = None
+        self.line: ChangeLogConnection | None = None
         self.task: asyncio.Task[None] | None = None
 
     def silent_ms(self) -> int:
@@ -101,7 +101,7 @@
     async def follow(self) -> None:
         again_ns = AGAIN_FIRST_NS
         while True:
-            line = self.line = ChangeLine(self)
+            line = self.line = ChangeLogConnection(self)
             began_ns = time.monotonic_ns()
             try:
                 await self.dial(line, began_ns + DIAL_NS)
@@ -122,12 +122,12 @@
             await asyncio.sleep(again_ns / 1e9)
             again_ns = min(2 * again_ns, AGAIN_MOST_NS)
 
-    async def dial(self, line: ChangeLine, until_ns: int) -> None:
+    async def dial(self, line: ChangeLogConnection, until_ns: int) -> None:
         loop = asyncio.get_running_loop()
         async with asyncio.timeout_at(loop.time() + (until_ns - time.monotonic_ns()) / 1e9):
             await loop.create_connection(lambda: line, self.address.host, self.address.port)
 
-    async def watch(self, line: ChangeLine) -> None:
+    async def watch(self, line: ChangeLogConnection) -> None:
         """Until the connection ends, or nothing has come for too long."""
         while not line.ended.done():
             left_ns = line.heard_at_ns + SILENCE_NS - time.monotonic_ns()
@@ -141,19 +141,19 @@
         try:
             raw = json.loads(line)
         except (ValueError, RecursionError) as error:
-            raise MalformedNewsError(f"not JSON ({error})") from None
-        news = read_news(raw, self.clock)
+            raise MalformedListUpdateError(f"not JSON ({error})") from None
+        update = read_list_update(raw, self.clock)
         is_event = len(raw) > 1
         # Guards against a lost event: numbers come in order, and the last one told is one we have.
         # What a new connection starts with is all there is, so its first number may lie further on.
-        ahead = news.seq - self.last - (1 if is_event else 0)
+        ahead = update.seq - self.last - (1 if is_event else 0)
         if ahead > 0 and not is_first:
-            raise MalformedNewsError(f"seq: {news.seq} after {self.last}")
+            raise MalformedListUpdateError(f"seq: {update.seq} after {self.last}")
         if is_event:
-            self.learn(news)
+            self.learn(update)
 
-    def learn(self, news: News) -> None:
+    def learn(self, update: ListUpdate) -> None:
         """An event from the log or from a new configuration; one that is known already tells nothing."""
-        if news.seq > self.last:
-            self.last = news.seq
-            self.tell(news)
+        if update.seq > self.last:
+            self.last = update.seq
+            self.tell(update)
--- a/arrowkeel/net/codec.py
+++ b/arrowkeel/net/codec.py
@@ -42,7 +42,7 @@
     DESCRIPTION = 94
 
 
-class Clear(IntEnum):
+class ReleaseCause(IntEnum):
     """Causes of a release; the numbers are those of the protocol page."""
 
     NORMAL = 16
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -12,8 +12,8 @@
 from arrowkeel import wire
 
 MS = 1_000_000
-LINES_SHARE = 0.6  # of the descriptors; the rest is for exchanges, the change log, operators, new connections
-SHARED_LINES_SHARE = 0.36  # where a successor and its forerunner run at once, within one set of limits
+CONNECTIONS_SHARE = 0.6  # of the descriptors; the rest is for exchanges, the change log, operators, new ones
+SHARED_CONNECTIONS_SHARE = 0.36  # where a successor and its forerunner run at once, within one set of limits
 PROGRAM_BYTES = 18 << 20  # what the program itself takes
 LIFECYCLES = {
     "up": it.Listing.SERVING,
@@ -26,7 +26,7 @@
     """A configuration that cannot be used; the text names the field."""
 
 
-class MalformedNewsError(ValueError):
+class MalformedListUpdateError(ValueError):
     """An entry of the list of exchanges that cannot be read; the text names the field."""
 
 
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class News:
+class ListUpdate:
     """One numbered event of the list; without entries it tells only the last number."""
 
     seq: int
@@ -77,29 +77,29 @@
 class Bounds:
     """What tables and buffers may hold, as parts of the memory and descriptors that the limits state."""
 
-    lines: int  # connections from callers, who hold at most a third of the descriptors
-    door: int  # connections from operators
+    caller_connections: int  # connections from callers, who hold at most a third of the descriptors
+    operator_connections: int  # connections from operators
     backlog: int  # connections that the machine may have accepted and we have not yet seen
     open_calls: int
     descriptions: int  # bytes, of all calls that may still be sent
     records: int  # small entries of a table: ended calls, kept releases
     unsent: int  # bytes that one peer may leave unread
-    news: int  # bytes of one line of the change log
+    change_log_line: int  # bytes of one line of the change log
 
     @classmethod
     def within(cls, memory: int, descriptors: int, most_open: int, shared: bool = False) -> Bounds:
         memory = memory // 2 if shared else memory
         spare = max(PROGRAM_BYTES // 4, memory - PROGRAM_BYTES)
-        lines = int(descriptors * (SHARED_LINES_SHARE if shared else LINES_SHARE))
+        caller_connections = int(descriptors * (SHARED_CONNECTIONS_SHARE if shared else CONNECTIONS_SHARE))
         return cls(
-            lines=lines,
-            door=max(4, descriptors // 12),
+            caller_connections=caller_connections,
+            operator_connections=max(4, descriptors // 12),
             backlog=2 * descriptors,  # a crowd must not make usual callers wait a second for the next try
             open_calls=min(most_open, spare // 4096),
             descriptions=spare // 4,
             records=spare // 16384,
-            unsent=max(32 << 10, spare // (2 * lines)),
-            news=spare // 8,
+            unsent=max(32 << 10, spare // (2 * caller_connections)),
+            change_log_line=spare // 8,
         )
 
 
@@ -112,7 +112,7 @@
     seed: int
     bounds: Bounds
     changelog: Address
-    known: tuple[News, ...]
+    known: tuple[ListUpdate, ...]
     last_seq: int
     settings: it.Settings
     report_names: tuple[str, ...]
@@ -139,7 +139,7 @@
     try:
         identity, lifecycle = raw["instanceId"], raw["lifecycle"]
         if not isinstance(identity, str) or not identity or lifecycle not in LIFECYCLES:
-            raise MalformedNewsError(f"instanceId or lifecycle: {identity!r}, {lifecycle!r}")
+            raise MalformedListUpdateError(f"instanceId or lifecycle: {identity!r}, {lifecycle!r}")
         listed = it.ListedExchange(
             exchange=identity,
             number=int(raw["cell"]),
@@ -152,23 +152,25 @@
         gone = listed.listing is it.Listing.GONE
         return Entry(listed, None if gone else read_address(raw["hostPort"], "hostPort"))
     except KeyError as error:
-        raise MalformedNewsError(f"{error.args[0]}: missing") from None
+        raise MalformedListUpdateError(f"{error.args[0]}: missing") from None
     except (TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise MalformedNewsError(str(error)) from None
+        raise MalformedListUpdateError(str(error)) from None
 
 
-def read_news(raw: Any, clock: Clock) -> News:
-    """One event; raises MalformedNewsError on what cannot be read. Other kinds of news are only counted."""
+def read_list_update(raw: Any, clock: Clock) -> ListUpdate:
+    """One event; raises MalformedListUpdateError on what cannot be read. Others are only counted."""
     seq = raw.get("seq") if isinstance(raw, dict) else None
     if not isinstance(seq, int) or isinstance(seq, bool) or seq < 0:
-        raise MalformedNewsError("seq: not a whole number")
+        raise MalformedListUpdateError("seq: not a whole number")
     fleet = raw.get("fleet")
     if fleet is None:
-        return News(seq)
+        return ListUpdate(seq)
     instances = fleet.get("instances") if isinstance(fleet, dict) else None
     if not isinstance(instances, list):
-        raise MalformedNewsError("fleet.instances: not a list")
-    return News(seq, bool(fleet.get("reset", False)), tuple(read_entry(entry, clock) for entry in instances))
+        raise MalformedListUpdateError("fleet.instances: not a list")
+    return ListUpdate(
+        seq, bool(fleet.get("reset", False)), tuple(read_entry(entry, clock) for entry in instances)
+    )
 
 
 def read_config(text: str, clock: Clock, environment: Mapping[str, str] | None = None) -> Config:
@@ -192,8 +194,10 @@
     if memory <= PROGRAM_BYTES:
         raise ConfigError(f"limits.memory_mb: the program alone takes {PROGRAM_BYTES >> 20}")
     try:
-        news = tuple(read_news(entry, clock) for entry in field_of(known, "results", list, "known."))
-    except MalformedNewsError as error:
+        updates = tuple(
+            read_list_update(entry, clock) for entry in field_of(known, "results", list, "known.")
+        )
+    except MalformedListUpdateError as error:
         raise ConfigError(f"known.results: {error}") from None
     try:
         read, names = wire.read_settings(json.dumps(settings))
@@ -214,7 +218,7 @@
             memory, descriptors, field_of(allowed, "maxOpen", int, "settings.permissions."), bool(held)
         ),
         changelog=read_address(raw.get("changelog"), "changelog"),
-        known=news,
+        known=updates,
         last_seq=field_of(known, "seq", int, "known."),
         settings=read,
         report_names=names,
--- a/arrowkeel/net/line.py
+++ b/arrowkeel/net/connection.py
@@ -9,6 +9,7 @@
 import termios
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any, cast
 
 import structlog
@@ -47,7 +48,15 @@
 log = SparseLog()
 
 
-class Line(asyncio.Protocol):
+@dataclass(frozen=True, slots=True)
+class SentRelease:
+    """A release written to a connection, held for as long as the connection may still lose it."""
+
+    cause: int
+    sent_ns: int
+
+
+class MessageConnection(asyncio.Protocol):
     """One connection that carries messages of many calls."""
 
     def __init__(self, side: str, unsent_limit: int) -> None:
--- /dev/null
+++ b/arrowkeel/net/membership.py
@@ -0,0 +1,92 @@
+"""The exchanges as the list names them: one pool of connections each, made and closed as the list changes."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+import structlog
+
+from arrowkeel import interface as it
+from arrowkeel.net.config import Address, Config, Entry, ListUpdate
+from arrowkeel.net.exchange_pool import ExchangeHandler, ExchangePool
+from arrowkeel.net.metrics import ReleaseReason
+
+log = structlog.get_logger()
+
+
+class MembershipHandler(ExchangeHandler, Protocol):
+    """What the controller does when the list of exchanges changes."""
+
+    def exchanges_listed(self, event: it.ExchangeList) -> None: ...
+    def process_gone(self, pool: ExchangePool, before_ns: int, reason: ReleaseReason) -> None: ...
+
+
+class Membership:
+    """The pools of all listed exchanges."""
+
+    def __init__(self, handler: MembershipHandler, config: Config) -> None:
+        self.handler, self.config = handler, config
+        self.pools: dict[str, ExchangePool] = {}
+        self.started_ns: dict[str, int] = {}  # when each exchange's process started, as listed
+
+    def sweep(self, now_ns: int) -> None:
+        for pool in self.pools.values():
+            pool.sweep(now_ns)
+
+    def any_open(self) -> ExchangePool | None:
+        return next((pool for pool in self.pools.values() if pool.is_open), None)
+
+    def shut(self) -> None:
+        for pool in self.pools.values():
+            pool.shut()
+
+    def apply(self, update: ListUpdate, remembered: bool = False) -> None:
+        """Take one event of the list; `remembered` where it is the list as it was before the start."""
+        if update.entries is None:
+            return
+        kind = it.ListKind.COMPLETE if update.complete else it.ListKind.CHANGES
+        if remembered:
+            kind = it.ListKind.REMEMBERED
+        if kind is not it.ListKind.CHANGES:
+            listed = {entry.listed.exchange for entry in update.entries}
+            for exchange in [exchange for exchange in self.pools if exchange not in listed]:
+                self.remove(exchange)
+        for entry in update.entries:
+            self.apply_entry(entry)
+            log.info(
+                "exchange listed",
+                seq=update.seq,
+                exchange=entry.listed.exchange,
+                listing=entry.listed.listing.value,
+            )
+        self.handler.exchanges_listed(it.ExchangeList(kind, tuple(entry.listed for entry in update.entries)))
+
+    def apply_entry(self, entry: Entry) -> None:
+        exchange, address = entry.listed.exchange, entry.address
+        if entry.listed.listing is it.Listing.GONE or address is None:
+            self.remove(exchange)
+            return
+        self.remove_replaced(exchange, address)
+        pool = self.pools.get(exchange)
+        if pool is None:
+            pool = self.pools[exchange] = ExchangePool(exchange, address, self.handler, self.config)
+        elif entry.listed.started_ns > self.started_ns.get(exchange, 0):
+            self.handler.process_gone(pool, entry.listed.started_ns, ReleaseReason.RESTARTED)
+        self.started_ns[exchange] = entry.listed.started_ns
+        pool.set_serving(entry.listed.listing is it.Listing.SERVING)
+        if not pool.connections:
+            pool.dial()
+
+    def remove_replaced(self, exchange: str, address: Address) -> None:
+        """An address belongs to one exchange, and an exchange has one address."""
+        for other in list(self.pools.values()):
+            if (other.address == address) != (other.exchange == exchange):
+                self.remove(other.exchange)
+
+    def remove(self, exchange: str) -> None:
+        pool = self.pools.pop(exchange, None)
+        self.started_ns.pop(exchange, None)
+        if pool is not None:
+            pool.close()
+            self.handler.process_gone(pool, time.monotonic_ns() + 1, ReleaseReason.DELISTED)
--- a/arrowkeel/net/door.py
+++ b/arrowkeel/net/operator_api.py
@@ -1,4 +1,4 @@
-"""The operators' door: HTTP/1.1, one call a connection, answered at once. It decides nothing by itself."""
+"""The operators' interface: HTTP/1.1, one call a connection, answered at once. It decides nothing."""
 
 from __future__ import annotations
 
@@ -11,11 +11,11 @@
 
 from arrowkeel.net.config import MS, Address
 
-CALL_BYTES = 8 << 10  # of a whole call: none of the door's is longer
+CALL_BYTES = 8 << 10  # of a whole call: no call of this interface is longer
 LIFE_NS = 5000 * MS  # of a connection, whatever is said on it
 
 
-class DoorDesk(Protocol):
+class OperatorHandler(Protocol):
     """What operators may ask of the program, whatever they speak."""
 
     @property
@@ -25,11 +25,11 @@
     def active(self) -> bool: ...
 
 
-class DoorLine(asyncio.Protocol):
+class OperatorConnection(asyncio.Protocol):
     """One connection and the one call that it may make."""
 
-    def __init__(self, door: Door) -> None:
-        self.door = door
+    def __init__(self, api: OperatorApi) -> None:
+        self.api = api
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
         self.ends_at_ns = time.monotonic_ns() + LIFE_NS
@@ -39,10 +39,10 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.door.opened(self)
+        self.api.opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.door.lines.pop(self, None)
+        self.api.connections.pop(self, None)
 
     def data_received(self, data: bytes) -> None:
         if self.is_answered:
@@ -60,7 +60,7 @@
         self.path += url.decode("latin-1")
 
     def on_message_complete(self) -> None:
-        self.answer(*self.door.call(self.parser.get_method().decode("latin-1"), self.path.partition("?")[0]))
+        self.answer(*self.api.call(self.parser.get_method().decode("latin-1"), self.path.partition("?")[0]))
 
     def answer(self, status: HTTPStatus, text: str = "") -> None:
         if self.is_answered or self.transport is None:
@@ -79,49 +79,49 @@
             self.transport.abort()
 
 
-class Door:
-    """The listening socket, its few connections, and which call asks what of the desk."""
+class OperatorApi:
+    """The listening socket, its few connections, and which call asks what of the handler."""
 
-    def __init__(self, desk: DoorDesk, most: int) -> None:
-        self.desk, self.most = desk, most
-        self.lines: dict[DoorLine, None] = {}  # the first opened first
+    def __init__(self, handler: OperatorHandler, most: int) -> None:
+        self.handler, self.most = handler, most
+        self.connections: dict[OperatorConnection, None] = {}  # the first opened first
         self.server: asyncio.Server | None = None
 
     async def listen(self, address: Address) -> None:
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: DoorLine(self), address.host, address.port)
+        self.server = await loop.create_server(lambda: OperatorConnection(self), address.host, address.port)
 
     @property
     def listening(self) -> str:
         host, port = self.server.sockets[0].getsockname()[:2] if self.server is not None else ("", 0)
         return f"{host}:{port}"
 
-    def opened(self, line: DoorLine) -> None:
+    def opened(self, connection: OperatorConnection) -> None:
         """Guards operators against those who connect and say no more: the oldest of these makes room."""
-        if len(self.lines) >= self.most:
-            next(iter(self.lines)).abort()
-        self.lines[line] = None
+        if len(self.connections) >= self.most:
+            next(iter(self.connections)).abort()
+        self.connections[connection] = None
 
     def sweep(self, now_ns: int) -> None:
-        for line in [line for line in self.lines if now_ns > line.ends_at_ns]:
-            line.abort()
+        for connection in [connection for connection in self.connections if now_ns > connection.ends_at_ns]:
+            connection.abort()
 
     def close(self) -> None:
         if self.server is not None:
             self.server.close()
-        for line in list(self.lines):
-            line.abort()
+        for connection in list(self.connections):
+            connection.abort()
 
     def call(self, method: str, path: str) -> tuple[HTTPStatus, str]:
         match method, path:
             case "GET", "/status":
-                return (HTTPStatus.OK if self.desk.is_ready else HTTPStatus.SERVICE_UNAVAILABLE), ""
+                return (HTTPStatus.OK if self.handler.is_ready else HTTPStatus.SERVICE_UNAVAILABLE), ""
             case "GET", "/status/metrics":
-                return HTTPStatus.OK, self.desk.metrics()
+                return HTTPStatus.OK, self.handler.metrics()
             case "POST", "/standby":
-                return (HTTPStatus.OK if self.desk.standby() else HTTPStatus.CONFLICT), ""
+                return (HTTPStatus.OK if self.handler.standby() else HTTPStatus.CONFLICT), ""
             case "POST", "/active":
-                return (HTTPStatus.OK if self.desk.active() else HTTPStatus.CONFLICT), ""
+                return (HTTPStatus.OK if self.handler.active() else HTTPStatus.CONFLICT), ""
             case _, "/status" | "/status/metrics" | "/standby" | "/active":
                 return HTTPStatus.METHOD_NOT_ALLOWED, ""
             case _:
--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -9,20 +9,19 @@
 
 import structlog
 
-from arrowkeel.net.callerlines import CARRY_NS
-from arrowkeel.net.callers import CallerLine
+from arrowkeel.departure import STOP_TAKES_NS, Departure
+from arrowkeel.net.callers import CallerConnection
 from arrowkeel.net.config import MS, Config, ConfigError
 from arrowkeel.net.controller import Controller
-from arrowkeel.net.door import Door
+from arrowkeel.net.operator_api import OperatorApi
 from arrowkeel.policy import Policy
 
-ACCEPT_NS = 700 * MS  # after SIGTERM calls go on coming for so long
 FLUSH_NS = 300 * MS  # for the last answers to be read, at the end
 SWEEP_NS = 50 * MS  # between looks for connections that are of no use
 log = structlog.get_logger()
 
 
-class Duty(Enum):
+class ServiceState(Enum):
     STARTING = "starting"
     READY = "ready"
     STANDBY = "standby"
@@ -36,8 +35,8 @@
         self.config = config
         self.controller = Controller(config, Policy(config.settings, config.seed))
         self.loop = asyncio.get_running_loop()
-        self.duty = Duty.STARTING
-        self.door = Door(self, config.bounds.door)
+        self.state = ServiceState.STARTING
+        self.operator_api = OperatorApi(self, config.bounds.operator_connections)
         self.server: asyncio.Server | None = None
         self.stop_at_ns = 0
         self.finished: asyncio.Future[None] = self.loop.create_future()
@@ -48,26 +47,26 @@
         """Ready once each exchange was dialled: a successor that says so too soon fails its first calls."""
         try:
             if self.config.operator is not None:
-                await self.door.listen(self.config.operator)
+                await self.operator_api.listen(self.config.operator)
         except OSError as error:
             raise ConfigError(f"operator: {error}") from None
         try:
             self.server = await self.listen()
             await self.controller.start()
-            if self.duty is Duty.STARTING:
+            if self.state is ServiceState.STARTING:
                 await self.server.start_serving()
         except (OSError, ValueError) as error:
             named = "listen" if self.config.accept_fd is None else "LB_ACCEPT_FD"
             raise ConfigError(f"{named}: {error}") from None
-        if self.duty is Duty.STARTING:
-            self.duty = Duty.READY
+        if self.state is ServiceState.STARTING:
+            self.state = ServiceState.READY
         self.sweep()
 
     async def listen(self) -> asyncio.Server:
         config = self.config
 
-        def line() -> CallerLine:
-            return CallerLine(self.controller, config.bounds.unsent)
+        def line() -> CallerConnection:
+            return CallerConnection(self.controller, config.bounds.unsent)
 
         if config.accept_fd is not None:  # the platform's socket: whoever runs after us has it too
             held = socket.socket(fileno=config.accept_fd)
@@ -87,70 +86,84 @@
     def sweep(self) -> None:
         now = time.monotonic_ns()
         self.controller.sweep(now)
-        self.door.sweep(now)
+        self.operator_api.sweep(now)
         self.loop.call_later(SWEEP_NS / 1e9, self.sweep)
 
     # What operators ask
 
     @property
     def is_ready(self) -> bool:
-        return self.duty is Duty.READY
+        return self.state is ServiceState.READY
 
     def metrics(self) -> str:
         return self.controller.metrics_text()
 
     def standby(self) -> bool:
-        """Callers are sent away: tests fail, and each connection goes once nothing is open on it."""
-        if self.duty is Duty.READY:
-            self.duty = Duty.STANDBY
-            log.info("standby", open_calls=self.controller.open_calls)
+        """Callers are sent away: tests fail, and each connection goes once nothing is lost with it."""
+        if self.state is ServiceState.READY:
+            self.state = ServiceState.STANDBY
+            log.info("standby", **self.load())
             self.controller.takes_calls = False
-            now = time.monotonic_ns()
-            self.controller.lines.leave(now, carry_until_ns=now + CARRY_NS)
-        return self.duty is Duty.STANDBY
+            self.controller.callers.leave(Departure.standby(time.monotonic_ns()))
+        return self.state is ServiceState.STANDBY
 
     def active(self) -> bool:
-        if self.duty is Duty.STANDBY:
-            self.duty = Duty.READY
-            log.info("active again")
+        if self.state is ServiceState.STANDBY:
+            self.state = ServiceState.READY
+            log.info("active again", **self.load())
             self.controller.takes_calls = True
-            self.controller.lines.stay()
-        return self.duty is Duty.READY
+            self.controller.callers.stay()
+        return self.state is ServiceState.READY
+
+    def load(self) -> dict[str, int]:
+        """What the log says at each change of state."""
+        calls = self.controller.calls
+        return {
+            "open_calls": calls.open_count,
+            "standing_calls": calls.standing_count,
+            "caller_connections": len(self.controller.callers.connections),
+        }
 
     # Stop
 
     def stop(self) -> None:
-        """Calls go on being taken for a while; the end comes once every open call has its answer.
+        """Calls go on being taken for a while; the end comes once all is answered and callers have gone.
 
         On a socket that the platform holds nothing more is accepted: what connects now waits there for the
         process that follows, and what is connected goes to it at its first idle moment.
         """
-        if not self.stop_at_ns:
-            self.duty = Duty.STOPPING
-            self.stop_at_ns = time.monotonic_ns() + ACCEPT_NS
-            log.info("stopping", open_calls=self.controller.open_calls)
-            if self.config.accept_fd is not None:
-                self.close_server()
-                self.controller.lines.leave(time.monotonic_ns(), carry_until_ns=self.stop_at_ns)
-            self.finish_if_due()
+        if self.stop_at_ns:
+            return
+        now, longest_ns = time.monotonic_ns(), self.config.settings.longest_give_up_ns
+        self.state = ServiceState.STOPPING
+        self.stop_at_ns = now + STOP_TAKES_NS
+        log.info("stopping", **self.load())
+        if self.config.accept_fd is not None:
+            self.close_server()
+            self.controller.callers.leave(Departure.hand_over(now, longest_ns))
+        else:
+            self.controller.callers.leave(Departure.stop(now, longest_ns))
+        self.finish_if_due()
 
     def close_server(self) -> None:
         if self.server is not None:
             self.server.close()
 
     def finish_if_due(self) -> None:
-        now, lines = time.monotonic_ns(), self.controller.lines
         if self.finished.done():
             return
+        now, callers, calls = time.monotonic_ns(), self.controller.callers, self.controller.calls
         if now >= self.stop_at_ns:
             self.close_server()
-        left = self.config.accept_fd is None or not lines.lines
-        if now >= self.stop_at_ns and not self.controller.open_calls and left:
+        if callers.must_answer_all(now):
+            self.controller.answer_all()
+            self.finished.set_result(None)
+        elif now >= self.stop_at_ns and not calls.open_count and not callers.connections:
             self.finished.set_result(None)
         else:
             self.loop.call_later(0.01, self.finish_if_due)
 
     async def finish(self) -> None:
         await self.controller.close(time.monotonic_ns() + FLUSH_NS)
-        self.door.close()
+        self.operator_api.close()
         await asyncio.sleep(0.005)
--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -60,7 +60,7 @@
         self.asked = Times(ASKED_SPAN_NS)
 
     def validity(self, now: int) -> int:
-        """News lasts longer where calls are rare: it would else lapse before the next one is decided.
+        """ListUpdate lasts longer where calls are rare: it would else lapse before the next one is decided.
 
         What callers ask for counts too: a gate that lets few calls pass must not keep itself shut for longer.
         """
@@ -190,7 +190,7 @@
         self.out: list[it.Action] = []
         self.handlers: dict[type, Callable[[Any, int], None]] = {
             it.CallOffered: self.on_call,
-            it.CallStood: self.on_stood,
+            it.CallEstablished: self.on_established,
             it.AttemptEnded: self.on_ended,
             it.CallerLeft: lambda event, _: self.forget(event.call),
             it.ProbeAnswer: self.on_probe,
@@ -476,7 +476,7 @@
         if call is not None and call.out is not None:
             call.out.cpu.pending.drop(call_id)
 
-    def on_stood(self, event: it.CallStood, now: int) -> None:
+    def on_established(self, event: it.CallEstablished, now: int) -> None:
         call = self.calls.get(event.call)
         if call is None or call.out is None or call.out.exchange != event.exchange:
             return
--- a/arrowkeel/wire.py
+++ b/arrowkeel/wire.py
@@ -175,7 +175,7 @@
             was_cut=flag(fields, "cameBack"),
         )
     if name == "OPENED":
-        return it.CallStood(
+        return it.CallEstablished(
             text(fields, "msgId"),
             whole(fields, "attempt"),
             text(fields, "exchange"),
