--- a/arrowkeel/liveness.py
+++ b/arrowkeel/liveness.py
@@ -26,6 +26,10 @@
 LEASE_NS = 7200 * MS
 # A process that starts anew needs about as long before it takes connections and holds as many calls again.
 RESTART_LEAST_NS = 500 * MS
+# After so long a silence what is heard may have been written long before, and only now got through: it counts
+# once its connection has stayed open for a while, as that of a process that has ended meanwhile does not.
+LONG_SILENCE_NS = 1000 * MS
+CONFIRM_NS = 500 * MS
 # How old the last evidence may be where the group's state vouches for a process: a dial after a quiet time
 # comes within it, a machine that was lost for 5 s does not return within it.
 VOUCH_NS = 4500 * MS
@@ -43,6 +47,14 @@
         return self.size - self.free
 
 
+@dataclass(frozen=True, slots=True)
+class Sign:
+    """Something heard after a long silence, on which connection and when."""
+
+    connection: int
+    heard_ns: int
+
+
 @dataclass(eq=False, slots=True)
 class ProcessLease:
     """The connections to one process of the exchange, and the calls that it holds."""
@@ -53,13 +65,15 @@
     state: GroupState | None = None  # as last told on any of its connections
     ended_by_peer_ns: int = 0  # when the last connection was ended by the other side
     unreached: bool = False  # a dial has timed out since anything was heard
+    sign: Sign | None = None  # heard, and not confirmed yet
 
     @property
     def circuits(self) -> int:
         return sum(self.calls.values())
 
     def expires_ns(self) -> int:
-        return self.heard_ns + LEASE_NS
+        expires_ns = self.heard_ns + LEASE_NS
+        return expires_ns if self.sign is None else max(expires_ns, self.sign.heard_ns + CONFIRM_NS)
 
 
 class ExchangeLiveness:
@@ -83,18 +97,33 @@
         if lease is None:
             return
         del lease.connections[connection]
+        if lease.sign is not None and lease.sign.connection == connection:
+            lease.sign = None
         lease.ended_by_peer_ns = now_ns if by_peer else 0
         self.forget_empty()
 
     def heard(self, connection: int, now_ns: int) -> None:
-        """Renews a lease; the process is alive now, so it has accepted whatever was opened since as well."""
+        """Renews a lease; after a long silence only once it is confirmed."""
         lease = self.lease_of(connection)
         if lease is None:
             return
-        lease.heard_ns, lease.unreached = now_ns, False
+        if lease.calls and now_ns - lease.heard_ns > LONG_SILENCE_NS:
+            lease.sign = lease.sign or Sign(connection, now_ns)
+            self.confirm(lease, now_ns)
+        else:
+            self.renew(lease, connection, now_ns)
+
+    def confirm(self, lease: ProcessLease, now_ns: int) -> None:
+        sign = lease.sign
+        if sign is not None and now_ns - sign.heard_ns >= CONFIRM_NS:
+            self.renew(lease, sign.connection, sign.heard_ns)
+
+    def renew(self, lease: ProcessLease, connection: int, heard_ns: int) -> None:
+        """The process was alive then, so it had accepted whatever was opened until then as well."""
+        lease.heard_ns, lease.unreached, lease.sign = heard_ns, False, None
         opened_ns = lease.connections[connection]
         for other in [other for other in self.leases if other is not lease]:
-            if any(later_ns > opened_ns for later_ns in other.connections.values()):
+            if any(opened_ns < later_ns <= heard_ns for later_ns in other.connections.values()):
                 self.merge(lease, other)
 
     def established(self, connection: int, call: str, circuits: int) -> None:
@@ -157,13 +186,18 @@
         return vouched
 
     def is_witness(self, connection: int) -> bool:
-        """Whether this is the only connection known to lead to a process that holds calls."""
+        """Whether evidence hangs on it: it alone leads to a process that holds calls, or has just spoken."""
         lease = self.lease_of(connection)
-        return lease is not None and bool(lease.calls) and len(lease.connections) == 1
+        if lease is None or not lease.calls:
+            return False
+        has_spoken = lease.sign is not None and lease.sign.connection == connection
+        return has_spoken or len(lease.connections) == 1
 
     def take_expired(self, now_ns: int) -> list[str]:
         """The calls whose lease has ended, in the order of their ids; they are forgotten here."""
         expired: list[str] = []
+        for lease in list(self.leases):
+            self.confirm(lease, now_ns)
         for lease in self.leases:
             if lease.calls and now_ns > lease.expires_ns():
                 expired += lease.calls
--- a/arrowkeel/net/changelog.py
+++ b/arrowkeel/net/changelog.py
@@ -15,6 +15,7 @@
 # A line comes each second; two missing ones and a dial leave time within the 4 s that a stop is given.
 SILENCE_NS = 2200 * MS
 DIAL_NS = 500 * MS
+CONNECTIONS_MOST = 3  # open at once, while none of them speaks
 AGAIN_FIRST_NS, AGAIN_MOST_NS = 50 * MS, 500 * MS  # between attempts that soon end
 log = structlog.get_logger()
 
@@ -28,11 +29,11 @@
         self.buffer = bytearray()
         self.heard_at_ns = time.monotonic_ns()
         self.is_first = True  # the next line is the first one
-        self.ended: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.over: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        if self.ended.done():
+        if self.over.done():
             self.transport.abort()
             return
         self.heard_at_ns = time.monotonic_ns()
@@ -42,15 +43,17 @@
         self.drop()
 
     def drop(self) -> None:
-        if not self.ended.done():
-            self.ended.set_result(None)
+        if not self.over.done():
+            self.over.set_result(None)
+            self.follower.ended(self)
         if self.transport is not None:
             self.transport.abort()
 
     def data_received(self, data: bytes) -> None:
-        if self.ended.done():
+        if self.over.done():
             return
-        self.heard_at_ns = self.follower.heard_at_ns = time.monotonic_ns()
+        self.heard_at_ns = time.monotonic_ns()
+        self.follower.heard(self)
         self.buffer += data
         *lines, rest = bytes(self.buffer).split(b"\n")
         self.buffer = bytearray(rest)
@@ -67,16 +70,20 @@
 
 
 class ChangeLog:
-    """One follower; every connection asks for what came after the last number it has."""
+    """One follower; every connection asks for what came after the last number it has.
+
+    One that falls silent is not dropped at once: where discovery is slow or crowded its answer may still
+    come, and who hangs up and asks again each time never gets one. The first to speak stays, the others go.
+    """
 
     def __init__(
         self, address: Address, last: int, clock: Clock, tell: Callable[[ListUpdate], None], line_limit: int
     ) -> None:
         self.address, self.last, self.clock, self.tell = address, last, clock, tell
         self.line_limit = line_limit
-        self.heard_at_ns = time.monotonic_ns()
-        self.failures = 0  # connections that could not be made, or ended
-        self.line: ChangeLogConnection | None = None
+        self.heard_at_ns = self.opened_at_ns = time.monotonic_ns()
+        self.failures = 0  # connections that could not be made, ended or fell silent
+        self.connections: list[ChangeLogConnection] = []  # the open ones, the first opened first
         self.task: asyncio.Task[None] | None = None
 
     def silent_ms(self) -> int:
@@ -89,8 +96,8 @@
     def stop(self) -> None:
         if self.task is not None:
             self.task.cancel()
-        if self.line is not None:
-            self.line.drop()
+        for connection in list(self.connections):
+            connection.drop()
 
     def move(self, address: Address) -> None:
         """Follow it at another address, from the last number on and at once."""
@@ -98,44 +105,65 @@
         self.address = address
         self.start()
 
+    def heard(self, connection: ChangeLogConnection) -> None:
+        self.heard_at_ns = connection.heard_at_ns
+        for other in list(self.connections):
+            if other is not connection:
+                other.drop()
+
+    def ended(self, connection: ChangeLogConnection) -> None:
+        if connection in self.connections:
+            self.connections.remove(connection)
+
     async def follow(self) -> None:
         again_ns = AGAIN_FIRST_NS
         while True:
-            line = self.line = ChangeLogConnection(self)
             began_ns = time.monotonic_ns()
-            try:
-                await self.dial(line, began_ns + DIAL_NS)
-            except OSError as error:  # a time-out is one too
-                log.warning(
-                    "change log not reached",
-                    address=str(self.address),
-                    reason=str(error) or type(error).__name__,
-                    silent_ms=self.silent_ms(),
-                )
-                line.drop()
-            else:
-                log.info("change log connected", address=str(self.address), since=self.last)
-                await self.watch(line)
+            if await self.connect(began_ns + DIAL_NS):
+                await self.watch()
             self.failures += 1
             if time.monotonic_ns() - began_ns > AGAIN_MOST_NS:
                 again_ns = AGAIN_FIRST_NS
             await asyncio.sleep(again_ns / 1e9)
             again_ns = min(2 * again_ns, AGAIN_MOST_NS)
 
-    async def dial(self, line: ChangeLogConnection, until_ns: int) -> None:
-        loop = asyncio.get_running_loop()
-        async with asyncio.timeout_at(loop.time() + (until_ns - time.monotonic_ns()) / 1e9):
-            await loop.create_connection(lambda: line, self.address.host, self.address.port)
-
-    async def watch(self, line: ChangeLogConnection) -> None:
-        """Until the connection ends, or nothing has come for too long."""
-        while not line.ended.done():
-            left_ns = line.heard_at_ns + SILENCE_NS - time.monotonic_ns()
-            if left_ns > 0:
-                await asyncio.wait({line.ended}, timeout=left_ns / 1e9)
-            else:
-                log.warning("change log silent, reconnecting", last=self.last, silent_ms=self.silent_ms())
-                line.drop()
+    async def connect(self, until_ns: int) -> bool:
+        """Whether a connection came up in time."""
+        loop, connection = asyncio.get_running_loop(), ChangeLogConnection(self)
+        self.connections.append(connection)
+        try:
+            async with asyncio.timeout_at(loop.time() + (until_ns - time.monotonic_ns()) / 1e9):
+                await loop.create_connection(lambda: connection, self.address.host, self.address.port)
+        except OSError as error:  # a time-out is one too
+            reason = str(error) or type(error).__name__
+            log.warning("change log not reached", reason=reason, **self.facts())
+            connection.drop()
+            return False
+        log.info("change log connected", since=self.last, **self.facts())
+        self.opened_at_ns = time.monotonic_ns()
+        return True
+
+    async def watch(self) -> None:
+        """Until no connection is left, or nothing has come on any for too long."""
+        while self.connections:
+            left_ns = max(self.heard_at_ns, self.opened_at_ns) + SILENCE_NS - time.monotonic_ns()
+            if left_ns <= 0:
+                log.warning("change log silent, asked again", last=self.last, **self.facts())
+                if len(self.connections) >= CONNECTIONS_MOST:
+                    self.connections[0].drop()
+                return
+            await asyncio.wait(
+                {connection.over for connection in self.connections},
+                timeout=left_ns / 1e9,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
+    def facts(self) -> dict[str, object]:
+        return {
+            "address": str(self.address),
+            "connections": len(self.connections),
+            "silent_ms": self.silent_ms(),
+        }
 
     def take(self, line: bytes, is_first: bool) -> None:
         try:
--- a/arrowkeel/net/exchange_connection.py
+++ b/arrowkeel/net/exchange_connection.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import structlog
+
 from arrowkeel import interface as it
 from arrowkeel import wire
 from arrowkeel.net.codec import Code, Kind, MalformedMessageError, Message, ReleaseCause, encode
@@ -14,6 +16,7 @@
 from arrowkeel.net.connection import MessageConnection, SentRelease
 from arrowkeel.net.metrics import ConnectionLoss
 
+log = structlog.get_logger()
 # A set-up takes a circuit, and the group's state comes at once on each connection: one that brings nothing
 # for so long after a set-up, or lacks a state that another has, is mute, however open it looks.
 MUTE_NS = 250 * MS
@@ -157,6 +160,11 @@
         if message.call not in self.set_ups:
             self.events.released(self, message.call, cause, report)
             return
+        if cause == ReleaseCause.NORMAL:
+            # Told after an answer only: an earlier attempt of this call stood, with its answer lost, and has
+            # ended. Taken for this one's end it would send the call a second time while it is out.
+            log.info("end of an earlier attempt", call=message.call, connection=self.number)
+            return
         self.set_ups.discard(message.call)
         ending = ENDINGS.get(cause, it.Ending.NUMBER_BUSY)
         self.events.attempt_ended(message.call, ending, *wire.read_cause(note), report)
--- a/arrowkeel/net/exchange_pool.py
+++ b/arrowkeel/net/exchange_pool.py
@@ -272,7 +272,7 @@
         self.log_silence(now_ns, len(mute))
         if not all_mute:  # else the machine may be cut off: closing proves nothing
             self.close_mute(mute)
-        quiet = now_ns - max(self.heard_ns, self.vouched_ns) > QUIET_NS
+        quiet = now_ns - max(self.heard_ns, self.vouched_ns, self.connected_at_ns) > QUIET_NS
         if self.connections and (quiet or all_mute) and self.redial is None:
             self.dial()
         elif len(self.connections) > CONNECTIONS_KEPT:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The soak: the real program under seeded mixes of faults, between stand-ins on loopback."""
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -233,6 +233,24 @@
     assert ended == [(CALL, wanted[0], wanted[1], 0, it.Report(3, 9))]
 
 
+def test_the_normal_end_of_an_earlier_attempt_does_not_end_the_one_that_is_out() -> None:
+    """Its answer was lost, and exchanges tell ends again on the next connection: the call went out twice."""
+    far = Listener()
+
+    async def story(pool: ExchangePool, desk: Desk) -> None:
+        pool.set_up(order(CALL))
+        peer = await accepted(far)
+        await asyncio.to_thread(peer.expect, Kind.SET_UP)
+        peer.release(CALL, 16)
+        peer.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
+        told = [await desk.told.get()]
+        while told[-1][0] not in ("ended", "stood"):
+            told.append(await desk.told.get())
+        assert told[-1] == ("stood", CALL)
+
+    play(far.address, story)
+
+
 def test_a_peer_that_stops_reading_is_closed_before_it_fills_the_memory() -> None:
     far = Listener()
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -15,7 +15,7 @@
 from arrowkeel.net.codec import Code, Kind, ReleaseCause, encode
 from arrowkeel.net.config import Clock, read_config
 from arrowkeel.net.service import Service
-from tests.peers import CALL, OTHER, SETTINGS, Exchange, Listener, Program, event, instance, running
+from tests.peers import CALL, OTHER, SETTINGS, Exchange, Listener, Peer, Program, event, instance, running
 
 
 @pytest.fixture
@@ -301,6 +301,17 @@
     near.expect(Kind.SET_UP)
 
 
+def test_a_change_log_that_answers_slowly_is_not_hung_up_on(program: Program) -> None:
+    near = Exchange()
+    second = Peer(program.changelog.accept())  # once the first has said nothing for 2.2 s
+    assert second.socket.recv(100) == b"since 1\n"
+    program.tell(event(2, instance("near", 2, near.address)))  # on the first
+    near.opened.get(timeout=20)
+    assert second.receive() is None
+    program.tell(event(3, instance("near", 2, near.address, "removed")))
+    near.ended.get(timeout=20)
+
+
 def test_sigterm_lets_open_calls_finish_and_takes_more_on_open_connections(program: Program) -> None:
     caller, late = program.caller(), program.caller()
     caller.set_up()
