Give what is known of a processor a module of its own

Change: class Processor and its constants move to processor.py, unchanged; the tests' drivers are renamed.

--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of arrowkeel, in one module; its settings, events and actions are in arrowkeel/interface.py.
+"""Which way a call goes, whether it waits or is refused; settings, events, actions: arrowkeel/interface.py.
 
 The ordinary path is the hysteretic rate control of docs/design.md: an aged entry per processor, direct route
 first, then a weighted tandem, the last circuits kept back. Pressure is one figure, scaled so that H = 1.
@@ -11,25 +11,30 @@
 from typing import Any
 
 from arrowkeel import interface as it
-from arrowkeel.state import Bucket, CallState, FirstTimes, GrowingGaps, Outstanding, Route, S, Times
+from arrowkeel.processor import (
+    ASKED_SPAN_NS,
+    BLOCKING,
+    NORMAL,
+    OWN_RAISE,
+    PROBE_GAP_NS,
+    RATE_SPAN_NS,
+    TAU_BASE,
+    TAU_WORTH,
+    TRIAL_GAP_NS,
+    TURNED_SMOOTHING,
+    H,
+    Processor,
+    R,
+)
+from arrowkeel.state import CallState, FirstTimes, GrowingGaps, Route, S
 
-NORMAL, OVERLOAD, BLOCKING = range(3)
 STATES = ("normal", "overload", "blocking")
-L, H, R = 0.5, 1.0, 2.0  # H is 1 by scale; L: noise of a few samples flaps no state; R: half of the aim
-VALIDITY_NS = 2 * S  # default of the design: lapse of a state, and the span that oc is taken over
-VALIDITY_MOST_NS, VALIDITY_SAMPLES = 8 * S, 2  # where calls are rare news lasts so many gaps between them
 PACE_AIM_NS, PACE_LEAST = 3 * S // 2, 0.25  # the longest aim that spans are set for; the least they shrink to
-LEAST_RATE = 1.0  # set-ups a second, the design's default floor of oc
 CROWD = 9.0  # senders for which one call each (floor, tolerance, trial) is little; more of them share it
-REGRANT_NS, CURBED_NS = S // 2, S  # a cut shows no sooner; overload ends once nobody was kept back so long
-CUT, RAISE = 0.85, 1.15  # steps of oc: above H, below it
-OWN_RAISE, USUAL = 2.0, 1.5  # of the own one below L; up to so many times the first set-ups asked for
-TAU_BASE, TAU_WORTH = 1.0, 2.0  # bucket tolerance in increments T, and what the worthiest class has beyond
 WAIT_AT_H = 0.2  # share of the longest aim: a wait that counts as H; two processors and a retry still fit
 HOLD_BACK_AT_H, QUEUED_AT_H = 0.25, 10.0  # asked share to hold back, messages waiting, that count as H
 HOT_SHARE, HOT_LEAST = 0.1, 3.0  # of the far ends heard of lately: so many pressed, and no call goes round
 OWN_RANK = 12  # own excess is the least of up to seven far ends' excesses, the least eighth of more
-SMOOTHING, TURNED_SMOOTHING = 0.3, 0.05  # of delays: a few outcomes decide; of turn-backs: some twenty
 RESERVE_SHARE, DIRECT_RESERVE = 0.1, 2.0  # of a group, from transit and alternatives; from the least worthy
 WEIGHT_UP, WEIGHT_DOWN, WEIGHT_LEAST = 0.7, 0.3, 0.03  # of a tandem: success, turn-back, floor
 WEIGHT_UNTRIED, CANDIDATES = 0.1, 8  # far below a proven one; a draw looks at so many untried tandems
@@ -37,126 +42,9 @@
 ADVICE_SHARE = 1.0  # an advised tandem counts as much as this times all others looked at
 LOST_NS, LOST_BEHIND = S // 20, 2  # overtaken so long ago, and by so many more since: no answer is coming
 TICK_NS, STALL_NS = S // 40, S // 10  # held calls are looked at; a timer so late means that we stood still
-TRIAL_GAP_NS = PROBE_GAP_NS = S  # between trial calls to a silent far end; probes, where they alone report
 HOLD_SHARE, SILENT_SHARE = 0.7, 0.6  # of the aim: a call may be held, the rest is for its set-up; silence
 COLD_CAUTION, COLD_LEAST = 0.6, 3.0  # part of the cold budget taken; a second by all that know nothing
 BUSY_GAP_NS, BUSY_GAP_MOST_NS = S, 8 * S  # gapping of a number whose lines were all busy; doubles
-RATE_SPAN_NS, ASKED_SPAN_NS = 10 * S, 60 * S  # over which what is sent, and what callers ask for, is counted
-
-
-class Processor:
-    """The aged entry of one processor, far or own: hysteresis, bucket, what it was sent and finished."""
-
-    state, silent, started, missed = NORMAL, False, 0, 0
-    valid_until = curbed_at = granted_at = heard_at = measured_at = trial_at = told_at = 0
-    told, delay, cold_rate, fair = 0.0, -1.0, 0.0, 0.0
-    calm_raise = RAISE
-
-    def __init__(self, crowd: float, pace: float = 1.0) -> None:
-        self.crowd, self.least = crowd, LEAST_RATE / crowd  # one a second from each of sixty is a flood
-        self.pace, self.valid_ns = pace, int(VALIDITY_NS * pace)
-        self.rate, self.bucket, self.pending = self.least, Bucket(), Outstanding()
-        self.done, self.sent = Times(RATE_SPAN_NS), Times(RATE_SPAN_NS)
-        self.asked = Times(ASKED_SPAN_NS)
-
-    def validity(self, now: int) -> int:
-        """ListUpdate lasts longer where calls are rare: it would else lapse before the next one is decided.
-
-        What callers ask for counts too: a gate that lets few calls pass must not keep itself shut for longer.
-        """
-        rate = max(self.sent.rate(now), self.asked.rate(now)) or 1
-        return int(min(VALIDITY_MOST_NS * self.pace, max(self.valid_ns, VALIDITY_SAMPLES * S / rate)))
-
-    def done_rate(self, now: int) -> float:
-        span = self.validity(now)
-        return max(self.least, self.done.count(now, span) * S / span)
-
-    def observe(self, pressure: float, now: int, fill: float) -> None:
-        """One step of the hysteresis. The bucket starts filled at random: of sixty not all let a call go."""
-        if self.state == NORMAL and pressure >= H:
-            self.state = OVERLOAD
-            self.rate, self.granted_at = self.done_rate(now), now
-            self.bucket.fill(fill / self.rate, now)
-        elif self.state == OVERLOAD and pressure < L and now - self.curbed_at > CURBED_NS * self.pace:
-            self.state = NORMAL  # not while calls press at the gate: set free at once they would swing it
-        elif self.state == BLOCKING and pressure < H:
-            self.state = OVERLOAD
-        if self.state == OVERLOAD and pressure >= R:
-            self.state = BLOCKING
-        if self.state != NORMAL:
-            self.valid_until = now + self.validity(now)
-        if self.state == OVERLOAD and now - self.granted_at >= REGRANT_NS * self.pace:
-            self.granted_at = now
-            cut = max(self.least, min(self.rate, self.done_rate(now)) * CUT)
-            # Below H what it says it takes, shared evenly, is safe at once: grown from one a second a rate
-            # was seconds behind a processor that had recovered. Harm: an old figure, until the next report.
-            usual = min(self.rate * self.calm_raise, USUAL * self.asked.rate(now)) if pressure < L else 0.0
-            self.rate = cut if pressure >= H else max(self.rate * RAISE, self.fair, usual)
-
-    def lapse(self, now: int) -> None:
-        """Unrenewed, overload lapses to normal; blocking first to overload, lest all held calls burst out."""
-        if self.state == BLOCKING and now >= self.valid_until:
-            self.state, self.valid_until = OVERLOAD, now + self.valid_ns
-        elif self.state == OVERLOAD and now >= max(self.valid_until, self.curbed_at + CURBED_NS * self.pace):
-            self.state = NORMAL
-
-    def learn_delay(self, delay: int, now: int) -> None:
-        stale = self.delay < 0 or now - self.heard_at > self.validity(now)
-        self.measured_at = now
-        self.delay = float(delay) if stale else self.delay + (delay - self.delay) * SMOOTHING
-
-    def excess(self, now: int, floor: float) -> float:
-        """Delay over its floor, or the age of the oldest set-up out: silence is a delay that grows."""
-        oldest = self.pending.oldest(now, 1 if self.told_at else 0)  # load told: one may be lost
-        # Only a set-up measures the delay. Probes and turn-backs must not keep an old one fresh: in blocking
-        # nothing is sent, so it would hold for ever. Harm: a standing wait is tried again at each lapse.
-        known = self.delay if now - self.measured_at <= self.valid_ns else 0.0
-        return max(0.0, max(known, float(now - oldest)) - floor)
-
-    def limit(self) -> float:
-        """Set-ups a second that may pass, 0 for no limit: oc in overload, part of the budget while cold."""
-        oc = self.rate if self.state == OVERLOAD else 0.0
-        return min(oc, self.cold_rate) if oc and self.cold_rate else oc or self.cold_rate
-
-    def opens_at(self, now: int, tau: float) -> int:
-        """When the gate lets the next call pass, as far as is known; news may open blocking sooner."""
-        if self.silent:  # a few trial calls, one at a time, never the whole crowd
-            return self.trial_at
-        limit, tau = self.limit(), (min(tau, TAU_BASE) if self.cold_rate else tau) / self.crowd
-        drained = now + int(S * max(0.0, self.bucket.content(now) - tau / limit)) if limit else now
-        return max(drained, self.valid_until) if self.state == BLOCKING else drained
-
-    def admits(self, now: int, tau: float) -> bool:
-        if self.opens_at(now, tau) <= now:
-            return self.silent or self.state != BLOCKING
-        self.curbed_at = self.curbed_at if self.silent else now
-        return False
-
-    def take(self, now: int) -> None:
-        self.sent.add(now)
-        if limit := self.limit():
-            self.bucket.add(1.0 / limit, now)
-
-    def hear(self, now: int) -> None:
-        """An answer came: a silent far end is used again, from a small rate upwards."""
-        self.heard_at, self.missed = now, 0
-        if self.silent:
-            self.silent, self.rate, self.granted_at = False, self.least, now
-            self.state, self.valid_until = OVERLOAD, now + self.valid_ns
-            self.pending.restart(now)  # what was out before is lost, not slow
-
-    def begin_anew(self, started: int, now: int) -> None:
-        """Just started: what is known is of its forerunner, whose silence or block would outlive the restart.
-
-        The cold budget guards the new one. Harm: listed as started yet down, a few calls are lost.
-        """
-        self.started, self.state, self.silent, self.missed = started, NORMAL, False, 0
-        self.delay, self.told_at, self.heard_at, self.fair = -1.0, 0, now, 0.0
-        self.pending.restart(now)
-
-    def miss(self, now: int, spread: float) -> None:
-        """No answer: trials wait, the longer the more of us there are."""
-        self.silent, self.trial_at = True, now + int(TRIAL_GAP_NS * self.pace * self.crowd * spread)
 
 
 Far = Route[Processor]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""A small desk for driving one policy by hand: events in, actions out, calls followed."""
+"""Drives one policy by hand: events in, actions out, calls followed."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 @dataclass
-class Desk:
+class PolicyDriver:
     settings: it.Settings = SETTINGS
     entries: tuple[it.ListedExchange, ...] = field(default_factory=listed)
     free: int | None = 20
@@ -93,5 +93,5 @@
 
 
 @pytest.fixture
-def desk() -> Desk:
-    return Desk()
+def driver() -> PolicyDriver:
+    return PolicyDriver()
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -4,10 +4,12 @@
 
 ROOT = Path(__file__).parent.parent
 POLICY = ROOT / "arrowkeel" / "policy.py"
+PROCESSOR = ROOT / "arrowkeel" / "processor.py"
 
 
 def test_policy_is_within_550_lines_of_110_characters() -> None:
-    lines = [line for line in POLICY.read_text().splitlines() if line.strip()]
+    text = POLICY.read_text() + PROCESSOR.read_text()
+    lines = [line for line in text.splitlines() if line.strip()]
     assert len(lines) <= 550
     assert max(map(len, lines)) <= 110
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -20,7 +20,7 @@
 from tests.peers import CALL, OTHER, Exchange, Listener, Peer, config_of
 
 
-class Desk:
+class RecordedEvents:
     """Writes down what the pool tells."""
 
     def __init__(self) -> None:
@@ -65,13 +65,13 @@
     return SetUpRequest(call, "voice", "77", b"x", abandon_at_ns)
 
 
-def play(address: str, story: Callable[[ExchangePool, Desk], Any]) -> None:
+def play(address: str, story: Callable[[ExchangePool, RecordedEvents], Any]) -> None:
     async def run() -> None:
         host, _, port = address.rpartition(":")
-        desk = Desk()
-        pool = ExchangePool("x", Address(host, int(port)), desk, config_of())
+        events = RecordedEvents()
+        pool = ExchangePool("x", Address(host, int(port)), events, config_of())
         try:
-            await asyncio.wait_for(story(pool, desk), 20)
+            await asyncio.wait_for(story(pool, events), 20)
         finally:
             pool.close()
 
@@ -86,16 +86,16 @@
 def test_a_set_up_that_waits_for_a_connection_does_not_leave_once_it_must_not(told: str) -> None:
     far = Listener()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.set_up(order(CALL, 1 if told == "late" else 1 << 62))
-        assert desk.told.empty(), "it waits"
+        assert events.told.empty(), "it waits"
         if told == "draining":
             pool.set_serving(False)
-            assert desk.told.get_nowait() == ("ended", CALL, it.Ending.NOT_SENT)
+            assert events.told.get_nowait() == ("ended", CALL, it.Ending.NOT_SENT)
         peer = await accepted(far)
         if told == "late":
-            assert await desk.told.get() == ("ended", CALL, it.Ending.NOT_SENT)
-        assert await desk.told.get() == ("connected",)
+            assert await events.told.get() == ("ended", CALL, it.Ending.NOT_SENT)
+        assert await events.told.get() == ("connected",)
         pool.release(OTHER, 16)
         first = await asyncio.to_thread(peer.receive)
         assert first is not None and (first.kind, first.call) == (Kind.RELEASE, OTHER)
@@ -108,9 +108,9 @@
     address = f"127.0.0.1:{free.getsockname()[1]}"
     free.close()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.set_up(order(CALL))
-        assert await desk.told.get() == ("ended", CALL, it.Ending.NO_CONNECTION)
+        assert await events.told.get() == ("ended", CALL, it.Ending.NO_CONNECTION)
 
     play(address, story)
 
@@ -121,13 +121,13 @@
     monkeypatch.setattr(exchange_pool, "DEAD_AFTER_NS", 0)
     far = Exchange()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.dial()
         lines = [await asyncio.to_thread(far.opened.get, timeout=20) for _ in range(CONNECTIONS_KEPT)]
         far.listener.socket.shutdown(socket.SHUT_RDWR)
         far.listener.socket.close()
         far.drop(*lines, reset=end == "reset")
-        while await desk.told.get() != ("died",):
+        while await events.told.get() != ("died",):
             pass
 
     play(far.address, story)
@@ -137,7 +137,7 @@
     """The second copy would undo what the module has counted off for the set-ups it has sent since."""
     far = Exchange()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.dial()
         lines = [await asyncio.to_thread(far.opened.get, timeout=20) for _ in range(CONNECTIONS_KEPT)]
         for line in lines:
@@ -145,7 +145,7 @@
             line.release(OTHER, 16)
         told: list[tuple[Any, ...]] = []
         while told.count(("released", OTHER, 16)) < len(lines):
-            told.append(await desk.told.get())
+            told.append(await events.told.get())
         assert [fact[1] for fact in told if fact[0] == "state"] == [it.Report(40, 60), it.Report(7, 60)]
 
     play(far.address, story)
@@ -161,7 +161,7 @@
     """The call had been given up there and stood on another: the release sent again cut it untold."""
     far, third = Exchange(), "00000000000000c3"
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.dial()
         await swept(pool, lambda: len(pool.connections) == CONNECTIONS_KEPT)
         first, second = pool.connections
@@ -187,7 +187,7 @@
 def test_a_connection_more_than_are_kept_is_closed_and_not_dialled_again() -> None:
     far = Exchange()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.dial()
         await swept(pool, lambda: len(pool.connections) == CONNECTIONS_KEPT)
         pool.dial()
@@ -216,8 +216,8 @@
 ) -> None:
     far, ended = Listener(), []
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
-        desk.attempt_ended = lambda *told: (ended.append(told), desk.told.put_nowait(("end",)))  # type: ignore
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
+        events.attempt_ended = lambda *told: (ended.append(told), events.told.put_nowait(("end",)))  # type: ignore
         pool.set_up(order(CALL))
         peer = await accepted(far)
         await asyncio.to_thread(peer.expect, Kind.SET_UP)
@@ -226,7 +226,7 @@
             CALL,
             {Code.CAUSE: bytes((cause,)), Code.NOTE: note, Code.REPORT: "idle:3;circuits:9"},
         )
-        while await desk.told.get() != ("end",):
+        while await events.told.get() != ("end",):
             pass
 
     play(far.address, story)
@@ -237,15 +237,15 @@
     """Its answer was lost, and exchanges tell ends again on the next connection: the call went out twice."""
     far = Listener()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.set_up(order(CALL))
         peer = await accepted(far)
         await asyncio.to_thread(peer.expect, Kind.SET_UP)
         peer.release(CALL, 16)
         peer.send(Kind.ANSWER, CALL, {Code.DESCRIPTION: b"answer"})
-        told = [await desk.told.get()]
+        told = [await events.told.get()]
         while told[-1][0] not in ("ended", "stood"):
-            told.append(await desk.told.get())
+            told.append(await events.told.get())
         assert told[-1] == ("stood", CALL)
 
     play(far.address, story)
@@ -254,10 +254,10 @@
 def test_a_peer_that_stops_reading_is_closed_before_it_fills_the_memory() -> None:
     far = Listener()
 
-    async def story(pool: ExchangePool, desk: Desk) -> None:
+    async def story(pool: ExchangePool, events: RecordedEvents) -> None:
         pool.dial()
         peer = await accepted(far)
-        assert await desk.told.get() == ("connected",)
+        assert await events.told.get() == ("connected",)
         line = pool.connections[0]
         assert line.transport is not None
         most = sent = 0
