--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -18,6 +18,15 @@
 from tests.peers import CALL, OTHER, PATIENCE_S, Peer, Program, running
 
 THIRD = "00000000000000c3"
+EARLIER_METRICS = {
+    "controller.passed.voice",
+    "controller.dropped.voice",
+    "controller.bad_gateway.voice",
+    "controller.upstream_tries",
+    "controller.in_progress",
+    "controller.known_exchanges",
+    "controller.skipped_exchanges",
+}
 
 
 @pytest.fixture
@@ -56,6 +65,15 @@
     }
     gauges = {name: int(value) for name, value in (line[:-2].split(":") for line in lines if line[-1] == "g")}
     assert len(lines) == len(counters) + len(gauges)
+    assert [line for line in lines if line.split(":")[0] in EARLIER_METRICS] == [
+        "controller.passed.voice:1|c",
+        "controller.dropped.voice:1|c",
+        "controller.bad_gateway.voice:0|c",
+        "controller.upstream_tries:2|c",
+        "controller.in_progress:2|g",
+        "controller.known_exchanges:1|g",
+        "controller.skipped_exchanges:0|g",
+    ]
     assert {name.removeprefix("controller."): count for name, count in counters.items() if count} == {
         "passed.voice": 1,
         "dropped.voice": 1,
