Review case 2 replaced: releases are lost when the process is replaced

Cause: a process that hands over keeps releases for a caller's connection that cannot come, and ends.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,53 +1,60 @@
-"""Case 2: the machine of a quiet exchange is lost and answers again before its process runs again."""
+"""Case 2: the process is replaced while calls stand whose callers have closed their connection."""
 
 from __future__ import annotations
 
 import asyncio
+import signal
 import sys
 import time
 
 from standins import SLACK_S, Case, CaseCannotRunError, run_case
 
-QUIET, BUSY = 2, [1, 3, 4]  # cells
-STANDING_CALLS = 4
-LOST_S = 1.5  # the machine says nothing for this long ...
-DOWN_S = 5.0  # ... and its processor runs again, cold, this long after the loss
-NOTICE_S = 4.2  # the list tells of the new start this long after it
-RELEASE_LIMIT_S = 8.0 + SLACK_S  # from the end of a call of which no release could be sent
+CELLS = [1, 2, 3, 4]
+CALLS_PER_CELL = 2
+IDLE_CLOSE_S = 4.0  # callers close a connection after 4 s with no call on it
+CALLS_PER_S, HOLD_S = 12.0, 1.0
+RELEASE_LIMIT_S = 8.0 + SLACK_S  # the later of the two bounds; the other is 1 s
+KILL_AFTER_S = 5.7  # the longest deadline (at most 5 s) and 0.7 s
 
 
 async def play(case: Case) -> list[str]:
-    await case.start()
-    case.run_in_background(case.callers.place_steadily(BUSY, 8.0, 2.0))
-    await asyncio.sleep(2.0)
-    calls = [await case.callers.place_standing(QUIET) for _ in range(STANDING_CALLS)]
-    await asyncio.sleep(0.2)
-    exchange = case.exchanges[QUIET]
-    if any(not exchange.holds(call) for call in calls):
-        raise CaseCannotRunError("a call does not stand at its exchange")
-    ended_at_s = time.monotonic()
+    await case.start(inherits=True)
+    calls = [await case.callers.place_standing(cell) for cell in CELLS for _ in range(CALLS_PER_CELL)]
+    await asyncio.sleep(IDLE_CLOSE_S)
+    case.callers.close()
+    await asyncio.sleep(0.5)
+    old = case.controller.process
+    assert old is not None
     if case.has_trouble:
-        exchange.lose_machine()
-        await asyncio.sleep(LOST_S)
-        exchange.machine_returns()
-        await asyncio.sleep(ended_at_s + DOWN_S - time.monotonic())
-        await exchange.process_returns()
-        started_at_ms = int(time.time() * 1000)
-        await asyncio.sleep(NOTICE_S)
-        case.change_log.publish(exchange.entry(started_at_ms=started_at_ms))
-    else:
-        for call in calls:
-            exchange.end_call(call)
-        await asyncio.sleep(DOWN_S + NOTICE_S)
-    await asyncio.sleep(2.0)
+        await case.controller.start()
+        case.controller.signal(signal.SIGTERM, old)
+    signalled_at_s = time.monotonic()
+    await asyncio.sleep(0.1)
+    case.run_in_background(case.callers.place_steadily(CELLS, CALLS_PER_S, HOLD_S))
+    await asyncio.sleep(0.15)
+    ended_at_s: dict[str, float] = {}
+    for call in calls:
+        ended_at_s[call] = time.monotonic()
+        case.end_call(call)
+        await asyncio.sleep(0.03)
+    if case.has_trouble:
+        if old.returncode is not None:
+            raise CaseCannotRunError("the old process ended before the calls did")
+        try:
+            await asyncio.wait_for(old.wait(), signalled_at_s + KILL_AFTER_S - time.monotonic())
+        except TimeoutError:
+            case.controller.signal(signal.SIGKILL, old)
+        case.record.write(
+            f"call controller: process 1 ended {time.monotonic() - signalled_at_s:.2f} s after SIGTERM"
+        )
+    await asyncio.sleep(RELEASE_LIMIT_S + 1.0)
     breaks = []
     for call in calls:
         seen = case.callers.calls[call]
-        after_s = seen.released_at_s - ended_at_s
-        if not seen.released_at_s or after_s > RELEASE_LIMIT_S:
-            outcome = f"released {after_s:.2f} s later" if seen.released_at_s else "not released"
+        if not seen.released_at_s or seen.released_at_s - ended_at_s[call] > RELEASE_LIMIT_S:
+            after = f"{seen.released_at_s - ended_at_s[call]:.2f} s later" if seen.released_at_s else "never"
             breaks.append(
-                f"call {call} ended with its machine; its caller was {outcome}, limit {RELEASE_LIMIT_S} s"
+                f"the exchange released call {call} while process 1 ran; its caller was released {after}"
             )
     return breaks
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import os
 import random
@@ -34,6 +35,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing the socket resets the connection
 GROUP_CIRCUITS = 120
 SET_UP_TIME_S = 0.012
+ACCEPT_FD = 5  # the descriptor of the listening socket that the platform keeps
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -79,6 +81,13 @@
     return messages
 
 
+def free_port() -> int:
+    """Returns a port that is free now."""
+    with socket.create_server((HOST, 0)) as probe:
+        port: int = probe.getsockname()[1]
+        return port
+
+
 class Record:
     """What was sent, answered and run; written to record.txt beside the case as it happens."""
 
@@ -413,6 +422,12 @@
             self.link = link
         return self.link
 
+    def close(self) -> None:
+        """Closes the connection, as callers do after 4 s with no call on it."""
+        if self.link is not None:
+            self.link.close()
+        self.link = None
+
     def handle_link(self, link: Link, is_up: bool) -> None:
         self.case.record.write(f"callers: connection {'opened' if is_up else 'closed'}")
 
@@ -476,22 +491,32 @@
 
 
 class Controller:
-    """The real program, started with the deploy file's `run` command."""
+    """The real program, started with the deploy file's `run` command.
 
-    def __init__(self, case: Case) -> None:
+    With `inherits`, the platform keeps the listening socket, as on days when the process is replaced.
+    """
+
+    def __init__(self, case: Case, inherits: bool = False) -> None:
         self.case = case
-        with socket.create_server((HOST, 0)) as probe:
-            self.port: int = probe.getsockname()[1]
+        self.listener: socket.socket | None = None
+        if inherits:
+            self.listener = socket.create_server((HOST, 0), backlog=512)
+            self.port: int = self.listener.getsockname()[1]
+        else:
+            self.port = free_port()
+        self.operator_port = 0
         self.process: asyncio.subprocess.Process | None = None
-        self.starts = 0
+        self.processes: list[asyncio.subprocess.Process] = []
 
     def write_config(self) -> Path:
         """Writes the configuration with the change log's events up to now."""
-        path = self.case.folder / "config.json"
+        path = self.case.folder / f"config{len(self.processes)}.json"
         events = self.case.change_log.events
+        self.operator_port = free_port()
         config = {
             "name": "n0",
             "listen": f"{HOST}:{self.port}",
+            "operator": f"{HOST}:{self.operator_port}",
             "seed": f"{self.case.random.getrandbits(64):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "changelog": f"{HOST}:{self.case.change_log.port}",
@@ -502,10 +527,10 @@
         return path
 
     async def start(self) -> None:
-        """Starts the program and waits until it passes a test."""
-        self.starts += 1
-        temporary = self.case.folder / f"tmp{self.starts}"
-        temporary.mkdir()
+        """Starts the program and waits until it says that it is ready and passes a test."""
+        number = len(self.processes) + 1
+        temporary = self.case.folder / ("tmp" if self.listener else f"tmp{number}")
+        temporary.mkdir(exist_ok=True)
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         environment = {
             "PATH": os.environ.get("PATH", "/usr/bin:/bin"),
@@ -514,16 +539,41 @@
             "LB_LISTEN": f"{HOST}:{self.port}",
             "LB_CONFIG": str(self.write_config()),
         }
-        with (self.case.folder / f"controller{self.starts}.log").open("wb") as log:
+        descriptors: tuple[int, ...] = ()
+        inherit: Callable[[], Any] | None = None
+        if self.listener is not None:
+            environment["LB_ACCEPT_FD"] = str(ACCEPT_FD)
+            descriptors, inherit = (ACCEPT_FD,), functools.partial(os.dup2, self.listener.fileno(), ACCEPT_FD)
+        with (self.case.folder / f"controller{number}.log").open("wb") as log:
             self.process = await asyncio.create_subprocess_exec(
-                "/bin/sh", "-c", run, cwd=ROOT, env=environment, stdout=log, stderr=log
+                "/bin/sh",
+                "-c",
+                run,
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+                pass_fds=descriptors,
+                preexec_fn=inherit,
             )
+        self.processes.append(self.process)
         deadline_s = time.monotonic() + 30.0
-        while not await self.passes_test():
+        while not (await self.says_ready() and await self.passes_test()):
             if time.monotonic() > deadline_s or self.process.returncode is not None:
                 raise CaseCannotRunError("the call controller did not become ready")
             await asyncio.sleep(0.05)
-        self.case.record.write(f"call controller: start {self.starts}, it passes a test")
+        self.case.record.write(f"call controller: process {number} is ready and passes a test")
+
+    async def says_ready(self) -> bool:
+        """Returns whether the operators' address of the last started process says yes."""
+        try:
+            reader, writer = await asyncio.open_connection(HOST, self.operator_port)
+            writer.write(b"GET /status HTTP/1.1\r\nHost: n0\r\n\r\n")
+            status = await asyncio.wait_for(reader.read(), 1.0)
+            writer.close()
+        except (OSError, TimeoutError):
+            return False
+        return status.split()[1:2] == [b"200"]
 
     async def passes_test(self) -> bool:
         """Returns whether a test on a new connection passes."""
@@ -543,11 +593,14 @@
         finally:
             link.close()
 
-    def signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the program that `run` started."""
-        assert self.process is not None
-        self.process.send_signal(number)
-        self.case.record.write(f"call controller: {number.name} sent")
+    def signal(self, number: signal.Signals, process: asyncio.subprocess.Process | None = None) -> None:
+        """Sends a signal to a program that `run` started, the last one if none is named."""
+        process = process or self.process
+        assert process is not None
+        process.send_signal(number)
+        self.case.record.write(
+            f"call controller: {number.name} sent to process {self.processes.index(process) + 1}"
+        )
 
     async def kill(self) -> None:
         """Kills the program outright and waits for its end."""
@@ -556,10 +609,13 @@
         await self.process.wait()
 
     async def stop(self) -> None:
-        """Ends the program if it still runs."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.kill()
-            await self.process.wait()
+        """Ends each process that still runs."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        if self.listener is not None:
+            self.listener.close()
 
 
 # The example of the wire page, which is the deployment's, for this number of call controllers and exchanges.
@@ -649,15 +705,18 @@
     controller: Controller = field(init=False)
     callers: Callers = field(init=False)
 
-    async def start(self, exchange_count: int = 5) -> None:
-        """Starts the exchanges (cell 0 is the call controller's own), the change log and the program."""
+    async def start(self, exchange_count: int = 5, inherits: bool = False) -> None:
+        """Starts the exchanges (cell 0 is the call controller's own), the change log and the program.
+
+        `inherits` says that the platform keeps the callers' listening socket.
+        """
         self.change_log = ChangeLog(self)
         for cell in range(exchange_count):
             self.exchanges[cell] = Exchange(self, cell)
             await self.exchanges[cell].listen()
         self.change_log.publish(*(each.entry() for each in self.exchanges.values()), reset=True)
         await self.change_log.start()
-        self.controller, self.callers = Controller(self), Callers(self)
+        self.controller, self.callers = Controller(self, inherits), Callers(self)
         await self.controller.start()
 
     def end_call(self, call: str) -> None:
