--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,61 +1,89 @@
-"""Case 2: the process is replaced while calls stand whose callers have closed their connection."""
+"""Case 2: a bad client takes back requests that it sent under the ids of open requests."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
-import time
 
-from standins import SLACK_S, Case, CaseCannotRunError, run_case
+from standins import (
+    CAUSE,
+    CLASS,
+    DESCRIPTION,
+    HOST,
+    NORMAL_END,
+    NUMBER,
+    PATIENCE,
+    RELEASE,
+    ROUTING,
+    SET_UP,
+    SLACK_S,
+    Case,
+    CaseCannotRunError,
+    Link,
+    Message,
+    encode,
+    run_case,
+)
 
 CELLS = [1, 2, 3, 4]
-CALLS_PER_CELL = 2
-IDLE_CLOSE_S = 4.0  # callers close a connection after 4 s with no call on it
-CALLS_PER_S, HOLD_S = 12.0, 1.0
-RELEASE_LIMIT_S = 8.0 + SLACK_S  # the later of the two bounds; the other is 1 s
-KILL_AFTER_S = 5.7  # the longest deadline (at most 5 s) and 0.7 s
+CALLS = 12
+SET_UP_TIME_S = 0.6  # a processor's wait; set-ups are turned away only once it passes 2.2 s
+PATIENCE_S = 3.0
+LOST_AFTER_S = 0.5 + SLACK_S
 
 
-async def play(case: Case) -> list[str]:
-    await case.start(inherits=True)
-    calls = [await case.callers.place_standing(cell) for cell in CELLS for _ in range(CALLS_PER_CELL)]
-    await asyncio.sleep(IDLE_CLOSE_S)
-    case.callers.close()
-    await asyncio.sleep(0.5)
-    old = case.controller.process
-    assert old is not None
-    if case.has_trouble:
-        await case.controller.start()
-        case.controller.signal(signal.SIGTERM, old)
-    signalled_at_s = time.monotonic()
-    await asyncio.sleep(0.1)
-    case.run_in_background(case.callers.place_steadily(CELLS, CALLS_PER_S, HOLD_S))
-    await asyncio.sleep(0.15)
-    ended_at_s: dict[str, float] = {}
-    for call in calls:
-        ended_at_s[call] = time.monotonic()
-        case.end_call(call)
-        await asyncio.sleep(0.03)
-    if case.has_trouble:
-        if old.returncode is not None:
-            raise CaseCannotRunError("the old process ended before the calls did")
-        try:
-            await asyncio.wait_for(old.wait(), signalled_at_s + KILL_AFTER_S - time.monotonic())
-        except TimeoutError:
-            case.controller.signal(signal.SIGKILL, old)
+async def send_and_take_back(case: Case, calls: list[str]) -> None:
+    """Sends in one write a request under each of these ids, and takes it back."""
+
+    def note(_link: Link, message: Message) -> None:
         case.record.write(
-            f"call controller: process 1 ended {time.monotonic() - signalled_at_s:.2f} s after SIGTERM"
+            f"bad client: received type {message.kind}, call {message.call}, cause {message.cause}"
+        )
+
+    link = Link(
+        note, lambda _link, is_up: case.record.write(f"bad client: connection {'up' if is_up else 'down'}")
+    )
+    await asyncio.get_running_loop().create_connection(lambda: link, HOST, case.controller.port)
+    data = b""
+    for call in calls:
+        cell = case.callers.calls[call].cell
+        data += encode(
+            SET_UP,
+            call,
+            {
+                CLASS: "recipe-lookup",
+                PATIENCE: "3000",
+                NUMBER: case.random.randbytes(8).hex(),
+                ROUTING: f"dest:{cell};width:1;via:-1",
+                DESCRIPTION: f"another request than {call}",
+            },
         )
-    await asyncio.sleep(RELEASE_LIMIT_S + 1.0)
+        data += encode(RELEASE, call, {CAUSE: bytes((NORMAL_END,))})
+    assert link.transport is not None
+    link.transport.write(data)
+    case.record.write(f"bad client: sent and took back {len(calls)} requests under ids of open requests")
+
+
+async def play(case: Case) -> list[str]:
+    await case.start()
+    for exchange in case.exchanges.values():
+        exchange.set_up_time_s = SET_UP_TIME_S
+    calls = [
+        await case.callers.place(CELLS[turn % len(CELLS)], int(PATIENCE_S * 1000)) for turn in range(CALLS)
+    ]
+    await asyncio.sleep(0.2)
+    arrived = {call for exchange in case.exchanges.values() for _, call in exchange.set_up_times}
+    if any(call not in arrived for call in calls):
+        raise CaseCannotRunError("a set-up has not reached its exchange")
+    if case.has_trouble:
+        await send_and_take_back(case, calls)
+    await asyncio.sleep(PATIENCE_S + LOST_AFTER_S + 0.5)
     breaks = []
     for call in calls:
         seen = case.callers.calls[call]
-        if not seen.released_at_s or seen.released_at_s - ended_at_s[call] > RELEASE_LIMIT_S:
-            after = f"{seen.released_at_s - ended_at_s[call]:.2f} s later" if seen.released_at_s else "never"
-            breaks.append(
-                f"the exchange released call {call} while process 1 ran; its caller was released {after}"
-            )
+        ended_at_s = seen.answered_at_s or seen.released_at_s
+        if not ended_at_s or ended_at_s - seen.sent_at_s > PATIENCE_S + LOST_AFTER_S:
+            breaks.append(f"call {call}, which its caller did not give up, got no final answer")
     return breaks
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -171,6 +171,7 @@
         self.set_up_times: list[tuple[float, str]] = []  # every set-up that arrived
         self.released_by_controller: dict[str, float] = {}
         self.unknown_releases: list[str] = []
+        self.set_up_time_s = SET_UP_TIME_S
         self.server: asyncio.Server | None = None
         self.port = 0
         self.listener: socket.socket | None = None
@@ -243,7 +244,7 @@
             self.log(f"set-up {call} arrived, patience {message.parameters.get(PATIENCE, b'').decode()} ms")
             self.calls[call] = ExchangeCall(link)
             self.send_state()
-            asyncio.get_running_loop().call_later(SET_UP_TIME_S, self.answer, call, self.calls[call])
+            asyncio.get_running_loop().call_later(self.set_up_time_s, self.answer, call, self.calls[call])
         elif message.kind == RELEASE and call in self.calls:
             what = "standing call" if self.calls.pop(call).stands else "set-up"
             self.released_by_controller[call] = time.monotonic()
