--- a/review/standins.py
+++ b/review/standins.py
@@ -35,6 +35,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: closing the socket resets the connection
 GROUP_CIRCUITS = 120
 SET_UP_TIME_S = 0.012
+LISTENING_PORTS = (14_000, 30_000)
 ACCEPT_FD = 5  # the descriptor of the listening socket that the platform keeps
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
@@ -82,10 +83,15 @@
 
 
 def free_port() -> int:
-    """Returns a port that is free now."""
-    with socket.create_server((HOST, 0)) as probe:
-        port: int = probe.getsockname()[1]
-        return port
+    """Returns a port that is free now, below the range from which the system takes ports for connections.
+
+    So no connection takes it while nobody listens there, as during an outage.
+    """
+    for _ in range(200):
+        port = random.randrange(*LISTENING_PORTS)
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            return port
+    raise CaseCannotRunError("no free port")
 
 
 class Record:
@@ -196,11 +202,11 @@
 
     async def listen(self) -> None:
         """Starts the process: it accepts connections, at the same port after a restart."""
+        self.port = self.port or free_port()
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((HOST, self.port))
         self.listener.listen(128)
-        self.port = self.listener.getsockname()[1]
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: Link(self.handle, self.handle_link), sock=self.listener, start_serving=True
@@ -347,8 +353,8 @@
 
     async def start(self) -> None:
         """Listens, at the same port after an outage."""
+        self.port = self.port or free_port()
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def publish(self, *entries: dict[str, Any], reset: bool = False) -> int:
         """Adds an event and sends it to all who follow; returns its number."""
@@ -500,11 +506,9 @@
     def __init__(self, case: Case, inherits: bool = False) -> None:
         self.case = case
         self.listener: socket.socket | None = None
+        self.port = free_port()
         if inherits:
-            self.listener = socket.create_server((HOST, 0), backlog=512)
-            self.port: int = self.listener.getsockname()[1]
-        else:
-            self.port = free_port()
+            self.listener = socket.create_server((HOST, self.port), backlog=512)
         self.operator_port = 0
         self.process: asyncio.subprocess.Process | None = None
         self.processes: list[asyncio.subprocess.Process] = []
