--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Case 3: an exchange begins to drain while discovery is down for 8 s."""
+"""Case 3: a release is lost with its connection, and with the next one, which is reset while new."""
 
 from __future__ import annotations
 
@@ -6,45 +6,58 @@
 import sys
 import time
 
-from standins import SLACK_S, Case, CaseCannotRunError, run_case
+from standins import SLACK_S, Case, CaseCannotRunError, PathConnection, run_case
 
-CELLS, LEAVING = [1, 2, 3, 4], 2
-CALLS_PER_S, HOLD_S = 60.0, 4.0
-DOWN_S = 8.0  # "discovery is down for 8 s, into the start of a release"
-TOLD_S, GRACE_S = 7.0, 0.5  # "told 7 s later at the latest, whether it arrived or not"; 500 ms
-STOPS_S = 9.0  # the leaving exchange stops this long after it began to drain (the site: 6 to 9.8 s)
+CELLS, TARGET = [1, 2, 3, 4], 2
+STANDING_CALLS = 4
+RESET_AFTER_S = 0.002  # the releases are still on their way then
+RELEASE_LIMIT_S = 8.0 + SLACK_S  # the later of the two bounds; the other is 1 s
 
 
 async def play(case: Case) -> list[str]:
-    await case.start()
-    case.run_in_background(case.callers.place_steadily(CELLS, CALLS_PER_S, HOLD_S))
-    await asyncio.sleep(4.0)
-    exchange = case.exchanges[LEAVING]
-    if not exchange.set_up_times:
-        raise CaseCannotRunError("no set-up reached the exchange that is to leave")
+    await case.start(over_path=(TARGET,))
+    case.run_in_background(case.callers.place_steadily(CELLS, 12.0, 2.0))
+    await asyncio.sleep(1.5)
+    calls = [await case.callers.place_standing(TARGET) for _ in range(STANDING_CALLS)]
+    await asyncio.sleep(0.5)
+    exchange = case.exchanges[TARGET]
+    path = exchange.path
+    if path is None or any(not exchange.holds(call) for call in calls):
+        raise CaseCannotRunError("a call does not stand at its exchange")
+    ended_at_s = time.monotonic()
+    carrying = exchange.calls[calls[0]].link
+    if any(exchange.calls[call].link is not carrying for call in calls):
+        raise CaseCannotRunError("the calls were set up on different connections")
+    for call in calls:
+        exchange.end_call(call)
+    resets = 0
     if case.has_trouble:
-        case.change_log.go_down()
-    down_at_s = time.monotonic()
-    await asyncio.sleep(0.1)
-    case.change_log.publish(exchange.entry("draining"))
-    drains_at_s = time.monotonic()
-    await asyncio.sleep(down_at_s + DOWN_S - time.monotonic())
-    if case.has_trouble:
-        await case.change_log.start()
-        case.record.write("change log: up again")
-    await asyncio.sleep(drains_at_s + STOPS_S - time.monotonic())
-    cut = [call for call in exchange.calls if exchange.holds(call)]
-    exchange.stop()
-    await asyncio.sleep(1.0)
-    limit_s = drains_at_s + TOLD_S + GRACE_S + SLACK_S
+
+        def reset_while_new(connection: PathConnection) -> None:
+            nonlocal resets
+            path.on_connected = None
+            resets += 1
+            asyncio.get_running_loop().call_later(RESET_AFTER_S, connection.reset)
+            case.record.write("network: the next connection to exchange 2 is reset while new")
+
+        path.on_connected = reset_while_new
+        await asyncio.sleep(RESET_AFTER_S)
+        ports = {carrying.transport.get_extra_info("peername")[1]} if carrying.transport else set()
+        for connection in path.connections:
+            far = connection.far.transport
+            if far is not None and far.get_extra_info("sockname")[1] in ports:
+                connection.reset()
+                resets += 1
+                case.record.write("network: the connection that carries the releases is reset")
+    await asyncio.sleep(RELEASE_LIMIT_S + 1.0)
+    if case.has_trouble and resets != 2:
+        raise CaseCannotRunError(f"{resets} connections were reset instead of two")
     breaks = []
-    for at_s, call in exchange.set_up_times:
-        if at_s > limit_s:
-            end = "cut when the exchange stopped" if call in cut else "not cut"
-            breaks.append(
-                f"set-up {call} reached the draining exchange {at_s - drains_at_s:.2f} s after the event, "
-                f"limit {limit_s - drains_at_s:.2f} s; the call was {end}"
-            )
+    for call in calls:
+        seen = case.callers.calls[call]
+        if not seen.released_at_s or seen.released_at_s - ended_at_s > RELEASE_LIMIT_S:
+            after = f"{seen.released_at_s - ended_at_s:.2f} s later" if seen.released_at_s else "never"
+            breaks.append(f"call {call} came to its end at the exchange; its caller was released {after}")
     return breaks
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -36,6 +36,7 @@
 GROUP_CIRCUITS = 120
 SET_UP_TIME_S = 0.012
 LISTENING_PORTS = (14_000, 30_000)
+PATH_DELAY_S = 0.01  # one way; the site: 9 to 19 ms between regions
 ACCEPT_FD = 5  # the descriptor of the listening socket that the platform keeps
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
@@ -178,6 +179,7 @@
         self.released_by_controller: dict[str, float] = {}
         self.unknown_releases: list[str] = []
         self.set_up_time_s = SET_UP_TIME_S
+        self.path: NetworkPath | None = None  # to the call controller; None where nothing happens on it
         self.server: asyncio.Server | None = None
         self.port = 0
         self.listener: socket.socket | None = None
@@ -185,7 +187,7 @@
 
     @property
     def address(self) -> str:
-        return f"{HOST}:{self.port}"
+        return f"{HOST}:{self.path.port if self.path else self.port}"
 
     def entry(self, lifecycle: str = "up", started_at_ms: int = 0) -> dict[str, Any]:
         """Returns the exchange as the change log lists it."""
@@ -335,12 +337,110 @@
         """Ends the exchange and resets its connections; calls through it are cut."""
         if self.server is not None:
             self.server.close()
+        if self.path is not None:
+            self.path.stop()
         for link in list(self.links):
             link.reset()
         for filler in self.fillers:
             filler.close()
 
 
+class PathEnd(asyncio.Protocol):
+    """One of the two sockets of a connection that a network path carries."""
+
+    def __init__(self, path: NetworkPath, connection: PathConnection) -> None:
+        self.path, self.connection = path, connection
+        self.transport: asyncio.Transport | None = None
+        self.waiting: list[bytes] = []  # what arrived before this socket was connected
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        for data in self.waiting:
+            self.write(data)
+        self.waiting.clear()
+
+    def data_received(self, data: bytes) -> None:
+        asyncio.get_running_loop().call_later(PATH_DELAY_S, self.connection.deliver, self, data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        asyncio.get_running_loop().call_later(PATH_DELAY_S, self.connection.end_seen, self)
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes that have crossed the path."""
+        if self.transport is None:
+            self.waiting.append(data)
+        elif not self.transport.is_closing():
+            self.transport.write(data)
+
+
+class PathConnection:
+    """One connection over a network path."""
+
+    def __init__(self, path: NetworkPath) -> None:
+        self.near, self.far = PathEnd(path, self), PathEnd(path, self)
+        self.is_reset = False
+
+    def other(self, end: PathEnd) -> PathEnd:
+        """Returns the opposite socket."""
+        return self.far if end is self.near else self.near
+
+    def deliver(self, end: PathEnd, data: bytes) -> None:
+        """Delivers what was on its way, unless the connection was reset meanwhile."""
+        if not self.is_reset:
+            self.other(end).write(data)
+
+    def end_seen(self, end: PathEnd) -> None:
+        """Closes the opposite socket."""
+        transport = self.other(end).transport
+        if transport is not None:
+            transport.close()
+
+    def reset(self) -> None:
+        """Resets the connection at both sockets; what is on its way is lost."""
+        self.is_reset = True
+        for end in (self.near, self.far):
+            if end.transport is not None and not end.transport.is_closing():
+                with contextlib.suppress(OSError):
+                    end.transport.get_extra_info("socket").setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                    )
+                end.transport.abort()
+
+
+class NetworkPath:
+    """The network between the call controller and one exchange: it takes time and can reset connections."""
+
+    def __init__(self, target_port: int) -> None:
+        self.target_port = target_port
+        self.port = free_port()
+        self.connections: list[PathConnection] = []
+        self.on_connected: Callable[[PathConnection], None] | None = None
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens; each connection goes on to the exchange."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.accept, HOST, self.port)
+
+    def accept(self) -> PathEnd:
+        """Takes a connection and opens the second half to the exchange."""
+        connection = PathConnection(self)
+        self.connections.append(connection)
+        self.case_task = asyncio.get_running_loop().create_task(self.go_on(connection))
+        return connection.near
+
+    async def go_on(self, connection: PathConnection) -> None:
+        """Connects to the exchange."""
+        await asyncio.get_running_loop().create_connection(lambda: connection.far, HOST, self.target_port)
+        if self.on_connected is not None:
+            self.on_connected(connection)
+
+    def stop(self) -> None:
+        """Stops listening."""
+        if self.server is not None:
+            self.server.close()
+
+
 class ChangeLog:
     """The change log: numbered events, each to be sent after its delay, and a heartbeat each second."""
 
@@ -710,15 +810,21 @@
     controller: Controller = field(init=False)
     callers: Callers = field(init=False)
 
-    async def start(self, exchange_count: int = 5, inherits: bool = False) -> None:
+    async def start(
+        self, exchange_count: int = 5, inherits: bool = False, over_path: tuple[int, ...] = ()
+    ) -> None:
         """Starts the exchanges (cell 0 is the call controller's own), the change log and the program.
 
-        `inherits` says that the platform keeps the callers' listening socket.
+        `inherits` says that the platform keeps the callers' listening socket; `over_path` names the exchanges
+        that are reached over a network path of the case's own.
         """
         self.change_log = ChangeLog(self)
         for cell in range(exchange_count):
             self.exchanges[cell] = Exchange(self, cell)
             await self.exchanges[cell].listen()
+            if cell in over_path:
+                self.exchanges[cell].path = path = NetworkPath(self.exchanges[cell].port)
+                await path.start()
         self.change_log.publish(*(each.entry() for each in self.exchanges.values()), reset=True)
         await self.change_log.start()
         self.controller, self.callers = Controller(self, inherits), Callers(self)
