--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,7 @@
 
 CELLS, TARGET = [1, 2, 3, 4], 2
 STANDING_CALLS = 4
-RESET_AFTER_S = 0.002  # the releases are still on their way then
+RESET_TIME_S = 0.005  # what is on its way is lost; both sides see the reset this long after
 RELEASE_LIMIT_S = 8.0 + SLACK_S  # the later of the two bounds; the other is 1 s
 
 
@@ -18,37 +18,37 @@
     await case.start(over_path=(TARGET,))
     case.run_in_background(case.callers.place_steadily(CELLS, 12.0, 2.0))
     await asyncio.sleep(1.5)
-    calls = [await case.callers.place_standing(TARGET) for _ in range(STANDING_CALLS)]
+    placed = [await case.callers.place_standing(TARGET) for _ in range(2 * STANDING_CALLS)]
     await asyncio.sleep(0.5)
     exchange = case.exchanges[TARGET]
     path = exchange.path
-    if path is None or any(not exchange.holds(call) for call in calls):
-        raise CaseCannotRunError("a call does not stand at its exchange")
+    held = [call for call in placed if exchange.holds(call)]
+    if path is None or not held:
+        raise CaseCannotRunError("no call stands at its exchange")
+    links = [exchange.calls[call].link for call in held]
+    carrying = max(links, key=links.count)
+    calls = [call for call in held if exchange.calls[call].link is carrying]
+    if carrying.transport is None or len(calls) < STANDING_CALLS:
+        raise CaseCannotRunError("too few calls were set up on one connection")
+    port = carrying.transport.get_extra_info("peername")[1]
+    old = next((each for each in path.connections if each.far_port == port), None)
+    if old is None:
+        raise CaseCannotRunError("the connection that is to be reset was not found")
     ended_at_s = time.monotonic()
-    carrying = exchange.calls[calls[0]].link
-    if any(exchange.calls[call].link is not carrying for call in calls):
-        raise CaseCannotRunError("the calls were set up on different connections")
     for call in calls:
         exchange.end_call(call)
     resets = 0
     if case.has_trouble:
 
-        def reset_while_new(connection: PathConnection) -> None:
+        def reset(connection: PathConnection) -> None:
             nonlocal resets
-            path.on_connected = None
             resets += 1
-            asyncio.get_running_loop().call_later(RESET_AFTER_S, connection.reset)
-            case.record.write("network: the next connection to exchange 2 is reset while new")
+            path.on_connected = reset if resets == 1 else None
+            connection.reset_after(RESET_TIME_S)
+            state = "that carries the releases" if resets == 1 else "that opens next, while it is new,"
+            case.record.write(f"network: the connection to exchange {TARGET} {state} is reset")
 
-        path.on_connected = reset_while_new
-        await asyncio.sleep(RESET_AFTER_S)
-        ports = {carrying.transport.get_extra_info("peername")[1]} if carrying.transport else set()
-        for connection in path.connections:
-            far = connection.far.transport
-            if far is not None and far.get_extra_info("sockname")[1] in ports:
-                connection.reset()
-                resets += 1
-                case.record.write("network: the connection that carries the releases is reset")
+        reset(old)
     await asyncio.sleep(RELEASE_LIMIT_S + 1.0)
     if case.has_trouble and resets != 2:
         raise CaseCannotRunError(f"{resets} connections were reset instead of two")
--- a/review/standins.py
+++ b/review/standins.py
@@ -395,9 +395,19 @@
         if transport is not None:
             transport.close()
 
-    def reset(self) -> None:
-        """Resets the connection at both sockets; what is on its way is lost."""
+    @property
+    def far_port(self) -> int:
+        """The port from which the exchange sees this connection come; 0 before it does."""
+        transport = self.far.transport
+        return transport.get_extra_info("sockname")[1] if transport is not None else 0
+
+    def reset_after(self, seconds: float) -> None:
+        """Loses what is on its way and all that is sent from now on; resets both sockets after this time."""
         self.is_reset = True
+        asyncio.get_running_loop().call_later(seconds, self.reset_sockets)
+
+    def reset_sockets(self) -> None:
+        """Resets the connection at both sockets."""
         for end in (self.near, self.far):
             if end.transport is not None and not end.transport.is_closing():
                 with contextlib.suppress(OSError):
