A release gives up an open set-up only on the connection that brought it

Cause: a release looked its call up by the identifier alone. Evidence: a log line added for it named the connection of the release (13) and that of the set-up (12) for each of the 12 calls, as the exchanges got 12 releases; no release came from an exchange, and the bad client got only cause 100. Change: caller_release.py decides what a release may end. A set-up declined on arrival accounts for one release on its connection, so taking it back cuts no standing call of that identifier and sends nothing to an exchange. Metric caller_releases_ignored.

--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from arrowkeel.caller_release import DeclinedSetUps, ReleaseVerdict
 from arrowkeel.net.codec import (
     NO_CALL_ID,
     MalformedMessageError,
@@ -36,6 +37,8 @@
 
 # Releases remembered for one connection, in case they cross the caller's end of the connection.
 MAX_SENT_RELEASES = 1024
+# Identifiers of declined set-ups remembered for one connection, in case their caller gives them up.
+MAX_DECLINED_SET_UPS = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,7 +64,8 @@
     - `accepts_calls` is the result of a test that a caller asks for.
     - `first_call_carried` follows the first valid set-up or release on a connection.
     - `call_offered` returns False if the set-up turns out not to be valid.
-    - `end_call_for_caller` ends a call before or after its answer, as its caller asks.
+    - `release_received` ends a call before or after its answer, as the caller on that connection asks, and
+      returns what was done with the release.
     - `abort_call` ends an open call with a final answer, because its caller cannot go on with it.
     """
 
@@ -71,7 +75,7 @@
     def first_call_carried(self, connection: CallerConnection) -> None: ...
     def caller_disconnected(self, connection: CallerConnection) -> None: ...
     def call_offered(self, connection: CallerConnection, offer: Offer) -> bool: ...
-    def end_call_for_caller(self, call: str, cause: int) -> None: ...
+    def release_received(self, connection: CallerConnection, call: str, cause: int) -> ReleaseVerdict: ...
     def abort_call(self, connection: CallerConnection, call: str) -> None: ...
 
 
@@ -125,6 +129,7 @@
         self.open_calls: set[str] = set()  # set up here, without their final answer yet
         self.standing_calls: set[str] = set()  # set up here, answered and not over
         self.sent_releases: dict[str, SentRelease] = {}  # the latest releases of answered calls sent here
+        self.declined_set_ups = DeclinedSetUps(MAX_DECLINED_SET_UPS)  # rejected or refused on arrival
         # Set-ups that were accepted, or refused for no fault of their own; and those that were not valid.
         self.valid_set_ups = self.invalid_set_ups = 0
         # Connections that only test whether the controller accepts calls never carry one.
@@ -149,8 +154,7 @@
             case _ if message.parameter_error:
                 raise MalformedMessageError(message.parameter_error)
             case MessageType.RELEASE:
-                self.handler.end_call_for_caller(message.call, message.cause())
-                self.mark_as_carrying_calls()
+                self.handle_release(message)
             case MessageType.TEST:
                 result = TEST_PASSED if self.handler.accepts_calls else TEST_FAILED
                 self.write(encode(MessageType.TEST_RESULT, message.call, {Parameter.CAUSE: result}))
@@ -171,7 +175,7 @@
             if message.call in self.open_calls:
                 self.handler.abort_call(self, message.call)
             else:
-                self.send_release(message.call, ReleaseCause.INVALID_CONTENTS)
+                self.reject_set_up(message.call)
         else:
             if self.handler.call_offered(self, offer):
                 self.valid_set_ups += 1
@@ -181,6 +185,17 @@
         if self.invalid_set_ups > MAX_INVALID_SET_UPS and not self.open_calls:
             self.close()
 
+    def handle_release(self, message: Message) -> None:
+        """Passes a release on to the controller."""
+        verdict = self.handler.release_received(self, message.call, message.cause())
+        if verdict not in (ReleaseVerdict.SET_UP_DECLINED, ReleaseVerdict.OTHER_CONNECTION):
+            self.mark_as_carrying_calls()
+
+    def reject_set_up(self, call: str) -> None:
+        """Rejects a set-up that is not valid; the identifier may be that of another caller's call."""
+        self.declined_set_ups.add(call)
+        self.send_release(call, ReleaseCause.INVALID_CONTENTS)
+
     def mark_as_carrying_calls(self) -> None:
         """Notifies the controller when the connection carries a call for the first time."""
         if not self.has_carried_calls:
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -13,12 +13,19 @@
 import structlog
 
 from arrowkeel import interface as it
+from arrowkeel.caller_release import (
+    IGNORED_RELEASES,
+    CallerRelease,
+    ReleaseVerdict,
+    decide_caller_release,
+)
 from arrowkeel.net.caller_connections import CallerConnections
 from arrowkeel.net.callers import CallerConnection, Offer
 from arrowkeel.net.calls import CallRecord, CallTable
 from arrowkeel.net.changelog import ChangeLogClient
 from arrowkeel.net.codec import ReleaseCause
 from arrowkeel.net.config import MS, Config
+from arrowkeel.net.connection import log as bad_input_log
 from arrowkeel.net.exchange_connection import ExchangeConnection, SetUpRequest
 from arrowkeel.net.exchange_pool import ExchangePool
 from arrowkeel.net.membership import Membership
@@ -308,10 +315,11 @@
             return False
         if call in self.calls:
             # The call with this identifier goes on, on its own connection.
-            connection.send_release(call, ReleaseCause.INVALID_CONTENTS)
+            connection.reject_set_up(call)
             return False
         reason = self.refusal_reason(offer)
         if reason is not None:
+            connection.declined_set_ups.add(call)
             self.refuse_call(connection, offer, self.config.settings.max_redial_after_ns, reason)
             return reason is not it.RefusalReason.UNKNOWN_CLASS
         self.accept_call(connection, offer)
@@ -328,6 +336,7 @@
 
     def accept_call(self, connection: CallerConnection, offer: Offer) -> None:
         """Adds a call to the table and offers it to the policy."""
+        connection.declined_set_ups.discard(offer.call)
         call, patience_ns = offer.call, offer.patience_ms * MS
         record = CallRecord(connection, offer, time.monotonic_ns() + patience_ns)
         self.calls.add(record)
@@ -348,17 +357,38 @@
             )
         )
 
+    def release_received(self, connection: CallerConnection, call: str, cause: int) -> ReleaseVerdict:
+        """Ends a call as a caller asks, passes the release on or ignores it; returns which."""
+        record = self.calls.get(call)
+        is_standing = record is not None and record.established_at_ns > 0
+        verdict = decide_caller_release(
+            CallerRelease(
+                was_declined=connection.declined_set_ups.take(call),
+                is_open=record is not None and not is_standing,
+                is_standing=is_standing,
+                is_own_connection=record is not None and record.connection is connection,
+                has_ended=call in self.calls.ended,
+            )
+        )
+        if verdict in IGNORED_RELEASES:
+            self.metrics.caller_releases_ignored[verdict] += 1
+            bad_input_log.info(
+                "caller's release ignored", reason=verdict.value, call=call, connection=connection.number
+            )
+        elif verdict is ReleaseVerdict.END_CALL:
+            self.end_call_for_caller(call, cause)
+        else:
+            self.calls.ended.add(call)
+            self.release_to_any_exchange(call, cause)
+        return verdict
+
     def end_call_for_caller(self, call: str, cause: int) -> None:
-        """Ends a call that its caller no longer wants.
+        """Ends a call that its caller no longer wants, if it is not over.
 
         Before the answer the attempt in progress is given up, after it the release is passed to the exchange.
-        A release of an unknown call is passed to an exchange too: it may be of a call from before the start.
         """
         record = self.calls.get(call)
         if record is None:
-            if call not in self.calls.ended:
-                self.calls.ended.add(call)
-                self.release_to_any_exchange(call, cause)
             return
         pool, attempt = record.pool, record.attempts - 1
         if pool is not None and record.established_at_ns:
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 from arrowkeel import interface as it
+from arrowkeel.caller_release import IGNORED_RELEASES, ReleaseVerdict
 
 Label = TypeVar("Label", bound=Enum)
 
@@ -47,6 +48,7 @@
         self.standing_released = Counter[ReleaseReason]()
         self.exchange_connections_lost = Counter[ConnectionLoss]()
         self.dials_failed = 0
+        self.caller_releases_ignored = Counter[ReleaseVerdict]()
 
     def render(self, gauges: Mapping[str, int]) -> str:
         """Returns one line for each counter and gauge: `controller.NAME:VALUE|c`, or `|g` for a gauge."""
@@ -70,6 +72,7 @@
             "exchange_connections_lost", ConnectionLoss, self.exchange_connections_lost
         )
         counts["dials_failed"] = self.dials_failed
+        counts |= counters_by_label("caller_releases_ignored", IGNORED_RELEASES, self.caller_releases_ignored)
         return counts
 
     @staticmethod
@@ -77,7 +80,7 @@
         return f"controller.{name}:{value}|c"
 
 
-def counters_by_label(name: str, labels: type[Label], counts: Mapping[Label, int]) -> dict[str, int]:
+def counters_by_label(name: str, labels: Iterable[Label], counts: Mapping[Label, int]) -> dict[str, int]:
     """Returns one counter for each label, also for those that were never counted.
 
     A space in a label's value is written as `_` in the metric name.
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -8,7 +8,7 @@
 ROOT = Path(__file__).parent.parent
 PACKAGE = ROOT / "arrowkeel"
 POLICY = PACKAGE / "policy.py"
-DECISION_MODULES = ("policy", "processor", "state", "interface", "liveness", "departure")
+DECISION_MODULES = ("policy", "processor", "state", "interface", "liveness", "departure", "caller_release")
 # A whole module, or one name of a module. Of `random` only the seeded generator: the functions of that module
 # share a generator that is seeded by the system.
 ALLOWED_IMPORTS = {
