Release calls whose release was lost with two connections in a row

Cause: an exchange sends a release on the call's connection and repeats it on the next one opened, no more. With both lost nothing ended the call: its lease is that of the process, which lives on. Evidence: log lines added for it showed no release received, ignored or waiting after the two resets, and 8 calls more held than circuits busy, constant for 5 s (held=12 busy=4, later held=13 busy=5); 8 were the calls lost. A spare connection is closed for sending only and read to its end. A connection reset as it comes up no longer counts as a dial that never arrived.

--- a/arrowkeel/net/calls.py
+++ b/arrowkeel/net/calls.py
@@ -109,10 +109,10 @@
         return record
 
     def remove_standing(self, record: CallRecord, pool: ExchangePool) -> None:
-        """Removes a call that is over from the standing calls and from its exchange's lease."""
+        """Removes a call that is over from the standing calls, also from those of its exchange."""
         call = record.offer.call
         record.connection.standing_calls.discard(call)
-        pool.liveness.remove_call(call)
+        pool.remove_standing_call(call)
         calls = self.standing.get(pool.exchange, set())
         calls.discard(call)
         if not calls:
--- a/arrowkeel/net/connection.py
+++ b/arrowkeel/net/connection.py
@@ -83,6 +83,7 @@
         self.transport: asyncio.Transport | None = None
         self.incomplete_since_ns = 0  # since when an incomplete message is buffered; 0 while none is
         self.closing_since_ns = 0  # when `close` was first called; 0 before
+        self.was_read_to_end = False  # the peer closed the connection and all that it sent has been read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -105,7 +106,7 @@
         """Decodes the bytes, handles each complete message and notes whether an incomplete one is left."""
         try:
             for message in self.decoder.feed(data):
-                if not self.is_open:
+                if self.transport is None or self.transport.is_closing():
                     return
                 self.handle_message(message)
         except MalformedMessageError as error:
@@ -115,6 +116,10 @@
         elif self.decoder.completed_count or not self.incomplete_since_ns:
             self.incomplete_since_ns = time.monotonic_ns()
 
+    def eof_received(self) -> None:
+        """Notes that the peer has closed the connection; this side closes it as well."""
+        self.was_read_to_end = True
+
     def handle_protocol_error(self, reason: str) -> None:
         """Closes the connection: after malformed input, message boundaries can't be relied on any more."""
         log.warning(
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -29,7 +29,7 @@
 from arrowkeel.net.exchange_connection import ExchangeConnection, SetUpRequest
 from arrowkeel.net.exchange_pool import ExchangePool
 from arrowkeel.net.membership import Membership
-from arrowkeel.net.metrics import ConnectionLoss, Metrics, ReleaseReason
+from arrowkeel.net.metrics import ConnectionLoss, IgnoredExchangeRelease, Metrics, ReleaseReason
 from arrowkeel.policy import Policy
 
 # How long after its deadline a call is ended here if the policy has not answered it.
@@ -135,6 +135,7 @@
             "standing_calls": self.calls.standing_count,
             "silent_exchanges": sum(pool.is_silent for pool in pools),
             "longest_silence_with_calls_ms": max(silences, default=0),
+            "suspected_calls": sum(pool.release_delivery.suspected_count for pool in pools),
             "releases_waiting_for_callers": len(self.callers.waiting_releases),
             "releases_waiting_for_exchanges": waiting,
             "caller_connections": len(self.callers.connections),
@@ -473,10 +474,16 @@
         """Passes the release of a standing call to its caller, also of one from before the start."""
         record = self.calls.get(call)
         if record is None:
-            if call not in self.calls.ended:
-                self.calls.ended.add(call)
-                self.callers.release(call, cause, None)
-        elif record.established_at_ns and record.pool is pool:
+            if call in self.calls.ended:
+                self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_ENDED)
+                return
+            self.calls.ended.add(call)
+            self.callers.release(call, cause, None)
+        elif not record.established_at_ns:
+            self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_OPEN)
+        elif record.pool is not pool:
+            self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.OTHER_EXCHANGE)
+        else:
             ending = it.Ending.COMPLETED if cause == ReleaseCause.NORMAL else it.Ending.INTERRUPTED
             outcome = self.attempt_outcome(call, record, record.attempts - 1, ending, over=True)
             self.calls.end(call)
@@ -484,6 +491,11 @@
             self.callers.release(call, cause, record.connection)
             self.queue_event(replace(outcome, report=report))
 
+    def ignore_exchange_release(self, pool: ExchangePool, call: str, reason: IgnoredExchangeRelease) -> None:
+        """Counts and logs a release from an exchange that is not passed on."""
+        self.metrics.exchange_releases_ignored[reason] += 1
+        log.debug("exchange's release ignored", exchange=pool.exchange, call=call, reason=reason.value)
+
     def set_up_sent(self) -> None:
         """Counts a set-up that was sent to an exchange."""
         self.metrics.upstream_tries += 1
@@ -527,7 +539,18 @@
         The process that holds them may be alive and unreachable, so it gets the releases too, once it can be
         reached.
         """
-        self.release_standing_calls(pool, calls, ReleaseReason.LEASE_EXPIRED)
+        self.release_on_both_sides(pool, calls, ReleaseReason.LEASE_EXPIRED)
+
+    def releases_lost(self, pool: ExchangePool, calls: list[str]) -> None:
+        """Releases calls that may have ended, as their release may have been lost with its connections.
+
+        Those that still stand at the exchange are released there too.
+        """
+        self.release_on_both_sides(pool, calls, ReleaseReason.RELEASE_LOST)
+
+    def release_on_both_sides(self, pool: ExchangePool, calls: list[str], reason: ReleaseReason) -> None:
+        """Releases calls to their callers and at their exchange."""
+        self.release_standing_calls(pool, calls, reason)
         for call in calls:
             pool.release(call, ReleaseCause.TEMPORARY_FAILURE)
 
--- a/arrowkeel/net/exchange_connection.py
+++ b/arrowkeel/net/exchange_connection.py
@@ -90,13 +90,16 @@
         # Since when another connection has received a state that this one lacks; 0 if none has.
         self.state_missing_since_ns = 0
         self.loss: ConnectionLoss | None = None  # why it ends, if this side ends it
+        # Since when nothing more is sent and the exchange is expected to close the connection; 0 before.
+        self.finishing_since_ns = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
         self.events.connection_opened(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Reports why the connection ended."""
+        """Reports why the connection ended, after what was received on it."""
+        super().connection_lost(exc)
         loss = self.loss or (ConnectionLoss.CLOSED_BY_PEER if exc is None else ConnectionLoss.RESET)
         self.events.connection_lost(self, loss)
 
@@ -110,6 +113,21 @@
         self.loss = self.loss or ConnectionLoss.CLOSED_BY_US
         super().close()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether messages may be sent on the connection."""
+        return super().is_open and not self.finishing_since_ns
+
+    def finish(self) -> None:
+        """Closes the sending side only; the connection ends once the exchange has closed it too.
+
+        A release that is on its way here is thus still received.
+        """
+        if self.transport is not None and self.is_open:
+            self.finishing_since_ns = time.monotonic_ns()
+            self.loss = self.loss or ConnectionLoss.CLOSED_BY_US
+            self.transport.write_eof()
+
     def is_unresponsive(self, now_ns: int) -> bool:
         """Whether a message has been due on it for so long that the connection must be taken for dead."""
         overdue_since_ns = [
--- a/arrowkeel/net/exchange_pool.py
+++ b/arrowkeel/net/exchange_pool.py
@@ -21,6 +21,7 @@
 from arrowkeel.net.connection import RateLimitedLog
 from arrowkeel.net.exchange_connection import RESPONSE_TIMEOUT_NS, ExchangeConnection, SetUpRequest
 from arrowkeel.net.metrics import ConnectionLoss
+from arrowkeel.release_delivery import ReleaseDelivery
 
 # The delay between dials to an exchange that accepts no connection or drops it at once: the first delay, and
 # the maximum that it doubles up to.
@@ -37,6 +38,7 @@
 # An exchange is dialled if no connection has received anything for this long: on a new connection it reports
 # the group state and the releases that were missed.
 MAX_IDLE_NS = 3000 * MS
+FINISH_TIMEOUT_NS = 1000 * MS  # for the exchange to close a spare connection after this side has
 log = structlog.get_logger()
 
 
@@ -45,6 +47,7 @@
 
     TIMED_OUT = "timed out"
     REFUSED = "refused"
+    RESET = "reset"  # the exchange, or the network, reset the connection as it came up
     UNREACHABLE = "unreachable"
     ENDED = "ended at once"
 
@@ -54,7 +57,8 @@
 
     `released_by_exchange` also covers calls from before the start of this process. `exchange_process_died`
     means that all connections were lost and dials are refused. `leases_expired` names the standing calls for
-    whose process there is no recent evidence of life.
+    whose process there is no recent evidence of life, `releases_lost` those that may have ended although
+    their release has not arrived.
     """
 
     def set_up_sent(self) -> None: ...
@@ -78,6 +82,7 @@
     def dial_failed(self) -> None: ...
     def exchange_connection_lost(self, loss: ConnectionLoss) -> None: ...
     def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None: ...
+    def releases_lost(self, pool: ExchangePool, calls: list[str]) -> None: ...
 
 
 class ExchangePool:
@@ -110,6 +115,7 @@
         self.is_silent = False  # as last logged
         self.rate_limited_log = RateLimitedLog()
         self.liveness = ExchangeLiveness(config.settings.is_mesh)
+        self.release_delivery = ReleaseDelivery(config.settings.is_mesh)
         self.last_reported_state: bytes | None = None  # the group state last passed to the controller
         self.queued_set_ups: dict[str, SetUpRequest] = {}  # by call id; for the next connection
         self.waiting_releases: dict[str, int] = {}  # call id -> cause; for the next connection
@@ -165,6 +171,9 @@
             failure = DialFailure.TIMED_OUT
         except ConnectionRefusedError:
             failure = DialFailure.REFUSED
+        except ConnectionError:
+            failure = DialFailure.RESET
+            self.release_delivery.connection_reset_while_new(connection.number, time.monotonic_ns())
         except OSError:
             failure = DialFailure.UNREACHABLE
         except asyncio.CancelledError:
@@ -224,7 +233,9 @@
 
     def connection_opened(self, connection: ExchangeConnection) -> None:
         """Starts a lease for the process behind a new connection."""
-        self.liveness.add_connection(connection.number, time.monotonic_ns())
+        now_ns = time.monotonic_ns()
+        self.liveness.add_connection(connection.number, now_ns)
+        self.release_delivery.connection_opened(connection.number, now_ns)
 
     def connection_lost(self, connection: ExchangeConnection, loss: ConnectionLoss) -> None:
         """Ends the set-ups that are open on the connection, and sends the releases again that may be lost.
@@ -234,12 +245,20 @@
         now_ns = time.monotonic_ns()
         by_peer = loss in (ConnectionLoss.CLOSED_BY_PEER, ConnectionLoss.RESET)
         self.liveness.remove_connection(connection.number, now_ns, by_peer)
+        standing_calls = self.release_delivery.connection_lost(
+            connection.number, connection.last_received_at_ns, now_ns, connection.was_read_to_end
+        )
         if connection not in self.connections:
             return
         self.connections.remove(connection)
         self.handler.exchange_connection_lost(loss)
         if not self.is_closed:
-            log.info("exchange connection lost", reason=loss.value, **self.log_fields(connection))
+            log.info(
+                "exchange connection lost",
+                reason=loss.value,
+                standing_calls=standing_calls,
+                **self.log_fields(connection),
+            )
         lost_releases = {call: release.cause for call, release in connection.unconfirmed_releases.items()}
         for call in sorted(connection.open_set_ups):
             self.handler.attempt_ended(call, it.Ending.INTERRUPTED)
@@ -269,6 +288,7 @@
     def message_received(self, connection: ExchangeConnection) -> None:
         """Takes a received message as evidence that the process is alive and the exchange not silent."""
         self.liveness.record_evidence(connection.number, connection.last_received_at_ns)
+        self.release_delivery.message_received(connection.number, connection.last_received_at_ns)
         if self.is_silent:
             self.is_silent = False
             log.info("exchange no longer silent", silent_ms=self.silent_ms(), **self.log_fields(connection))
@@ -281,6 +301,12 @@
     def record_standing_call(self, connection: ExchangeConnection, call: str, circuits: int) -> None:
         """Records that a call is standing at the process behind this connection, under its lease."""
         self.liveness.add_call(connection.number, call, circuits)
+        self.release_delivery.add_call(connection.number, call, circuits, time.monotonic_ns())
+
+    def remove_standing_call(self, call: str) -> None:
+        """Removes a standing call that is over."""
+        self.liveness.remove_call(call)
+        self.release_delivery.remove_call(call)
 
     def attempt_ended(
         self, call: str, ending: it.Ending, cause: it.FailureCause, wait_ns: int, report: it.LoadReport | None
@@ -306,6 +332,7 @@
         if report is not None and report.free_circuits is not None and report.group_size:
             state = GroupState(report.free_circuits, report.group_size)
             self.liveness.record_group_state(connection.number, state, connection.last_received_at_ns)
+            self.release_delivery.record_group_state(state, connection.last_received_at_ns)
         connection.state_missing_since_ns = 0
         for other in self.connections:
             if other.raw_group_state == connection.raw_group_state:
@@ -332,6 +359,8 @@
             return  # this process was stalled: what arrived meanwhile is read before the next sweep
         if expired := self.liveness.remove_expired_calls(now_ns):
             self.handler.leases_expired(self, expired)
+        if lost := self.release_delivery.remove_lost_calls(now_ns):
+            self.handler.releases_lost(self, lost)
         unresponsive = [each for each in self.connections if each.is_unresponsive(now_ns)]
         are_all_unresponsive = len(unresponsive) == len(self.connections)
         self.log_silence(now_ns, len(unresponsive))
@@ -341,10 +370,24 @@
             now_ns - max(self.last_received_at_ns, self.refusal_evidence_at_ns, self.connected_at_ns)
             > MAX_IDLE_NS
         )
-        if self.connections and (is_idle or are_all_unresponsive) and self.reconnect_timer is None:
+        needs_connection = is_idle or are_all_unresponsive or self.needs_repeated_releases(now_ns)
+        if self.connections and needs_connection and self.reconnect_timer is None:
             self.dial()
-        elif len(self.connections) > CONNECTIONS_PER_EXCHANGE:
+        elif sum(each.is_open for each in self.connections) > CONNECTIONS_PER_EXCHANGE:
             self.close_spare_connection()
+        self.abort_unfinished(now_ns)
+
+    def needs_repeated_releases(self, now_ns: int) -> bool:
+        """Whether a new connection is due so that the exchange repeats releases that may be lost on it."""
+        was_refused_lately = now_ns - self.refusal_evidence_at_ns < MAX_RECONNECT_DELAY_NS
+        return not was_refused_lately and self.release_delivery.needs_connection(now_ns)
+
+    def abort_unfinished(self, now_ns: int) -> None:
+        """Aborts the spare connections that the exchange has not closed in time."""
+        for connection in list(self.connections):
+            since_ns = connection.finishing_since_ns
+            if since_ns and now_ns - since_ns > FINISH_TIMEOUT_NS:
+                connection.abort_as(ConnectionLoss.CLOSED_BY_US)
 
     def close_unresponsive(self, unresponsive: list[ExchangeConnection]) -> None:
         """Closes unresponsive connections, except for those that may still bring evidence of life.
@@ -358,10 +401,10 @@
 
     def close_spare_connection(self) -> None:
         """Closes one connection more than is kept, if one is unused and is not needed as evidence."""
-        unused = [each for each in self.connections if not each.open_set_ups]
+        unused = [each for each in self.connections if each.is_open and not each.open_set_ups]
         spare = next((each for each in unused if not self.liveness.must_keep_open(each.number)), None)
         if spare is not None:
-            spare.close()
+            spare.finish()
 
     # Set-ups and releases
 
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -23,6 +23,7 @@
     DELISTED = "delisted"  # the exchange list says that the exchange is gone or replaced
     RESTARTED = "restarted"  # the list says that the exchange's process started after the call was answered
     LEASE_EXPIRED = "lease_expired"  # for too long there was no evidence that the process holding it is alive
+    RELEASE_LOST = "release_lost"  # its release may have been lost with two connections in a row
     REFUSING = "refusing"  # the exchange's connections were lost and new ones are refused
 
 
@@ -35,6 +36,14 @@
     CLOSED_BY_US = "closed_by_us"
 
 
+class IgnoredExchangeRelease(Enum):
+    """Why a release from an exchange was not passed on; label of `exchange_releases_ignored`."""
+
+    CALL_ENDED = "call_ended"  # a repetition, or one that crossed the end of the call
+    CALL_OPEN = "call_open"  # the call has not been answered, so this release is of an earlier attempt
+    OTHER_EXCHANGE = "other_exchange"  # the call stands at another exchange
+
+
 class Metrics:
     """The counters of one controller; the gauges are passed in when the text is rendered."""
 
@@ -48,6 +57,7 @@
         self.standing_released = Counter[ReleaseReason]()
         self.exchange_connections_lost = Counter[ConnectionLoss]()
         self.dials_failed = 0
+        self.exchange_releases_ignored = Counter[IgnoredExchangeRelease]()
         self.caller_releases_ignored = Counter[ReleaseVerdict]()
 
     def render(self, gauges: Mapping[str, int]) -> str:
@@ -72,6 +82,9 @@
             "exchange_connections_lost", ConnectionLoss, self.exchange_connections_lost
         )
         counts["dials_failed"] = self.dials_failed
+        counts |= counters_by_label(
+            "exchange_releases_ignored", IgnoredExchangeRelease, self.exchange_releases_ignored
+        )
         counts |= counters_by_label("caller_releases_ignored", IGNORED_RELEASES, self.caller_releases_ignored)
         return counts
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -139,6 +139,7 @@
         self.connection_of: dict[str, Peer] = {}  # by call
         self.state = GROUP_STATE
         self.unresponsive: Peer | None = None  # a connection that stays open and on which no state is sent
+        self.resets_next_connection = False  # before anything is sent on it
         self.opened_connections: queue.Queue[Peer] = queue.Queue()
         self.received: queue.Queue[tuple[Peer, Message]] = queue.Queue()
         self.closed_connections: queue.Queue[Peer] = queue.Queue()
@@ -151,6 +152,10 @@
             except OSError:
                 return
             connection.socket.settimeout(None)
+            if self.resets_next_connection:
+                self.resets_next_connection = False
+                connection.reset()
+                continue
             self.connections.append(connection)
             self.send_state(connection)
             self.opened_connections.put(connection)
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -8,12 +8,22 @@
 ROOT = Path(__file__).parent.parent
 PACKAGE = ROOT / "arrowkeel"
 POLICY = PACKAGE / "policy.py"
-DECISION_MODULES = ("policy", "processor", "state", "interface", "liveness", "departure", "caller_release")
+DECISION_MODULES = (
+    "policy",
+    "processor",
+    "state",
+    "interface",
+    "liveness",
+    "departure",
+    "caller_release",
+    "release_delivery",
+)
 # A whole module, or one name of a module. Of `random` only the seeded generator: the functions of that module
 # share a generator that is seeded by the system.
 ALLOWED_IMPORTS = {
     "__future__",
     "arrowkeel.interface",
+    "arrowkeel.liveness",
     "arrowkeel.processor",
     "arrowkeel.state",
     "collections",
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import time
 from collections.abc import Callable
@@ -59,6 +60,9 @@
     def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None:
         self.reported.put_nowait(("expired", calls))
 
+    def releases_lost(self, pool: ExchangePool, calls: list[str]) -> None:
+        self.reported.put_nowait(("lost", calls))
+
     def exchange_process_died(self, pool: ExchangePool) -> None:
         self.reported.put_nowait(("died",))
 
@@ -170,6 +174,11 @@
         await asyncio.sleep(0.01)
 
 
+async def wait_until(condition: Callable[[], bool]) -> None:
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
 def test_a_release_lost_on_an_unresponsive_connection_does_not_end_the_next_attempt() -> None:
     """Releases that may be lost are sent again when their connection closes. The call of a cancelled attempt
     may have been set up on another connection by then: the repeated release must not interrupt it.
@@ -214,6 +223,31 @@
     run_with_pool(exchange.address, scenario)
 
 
+def test_a_release_that_crosses_the_closing_of_a_surplus_connection_is_received() -> None:
+    """Guards against a release that is lost with a connection which this side closes as it is not needed."""
+    listener = Listener()
+
+    async def scenario(pool: ExchangePool, handler: RecordingHandler) -> None:
+        loop = asyncio.get_running_loop()
+        peers: list[Peer] = []
+        while len(peers) <= CONNECTIONS_PER_EXCHANGE:
+            pool.dial()
+            peers.append(Peer(await loop.run_in_executor(None, listener.accept)))
+            await wait_until(lambda: len(pool.connections) >= len(peers))
+        await sweep_until(pool, lambda: any(each.finishing_since_ns for each in pool.connections))
+        readable, _, _ = await loop.run_in_executor(
+            None, select.select, [each.socket for each in peers], [], []
+        )
+        closing = next(each for each in peers if each.socket in readable)
+        closing.release(CALL, 16)
+        closing.socket.close()
+        while await handler.reported.get() != ("released", CALL, 16):
+            pass
+        await sweep_until(pool, lambda: len(pool.connections) == CONNECTIONS_PER_EXCHANGE)
+
+    run_with_pool(listener.address, scenario)
+
+
 @pytest.mark.parametrize(
     ("cause", "note", "expected"),
     [
--- a/tests/test_vanished_exchange.py
+++ b/tests/test_vanished_exchange.py
@@ -1,14 +1,15 @@
-"""End-to-end tests of standing calls on an exchange whose machine vanishes (incident 8).
+"""End-to-end tests of standing calls whose end is not reported (incident 8, and issue 17 case 3).
 
-Its connections stay open and nothing reports the end of its calls, yet these must be released within the
-protocol's limit, and only if their process is really gone.
+The machine of their exchange vanishes, or their releases are lost. Yet they must be released within the
+protocol's limit, and only if they have really ended.
 """
 
 from __future__ import annotations
 
+import threading
 import time
 from collections.abc import Callable, Iterator
-from contextlib import nullcontext
+from contextlib import contextmanager, nullcontext
 from pathlib import Path
 
 import pytest
@@ -21,6 +22,12 @@
 Network = tuple[FaultProxy, Callable[[Callable[[], None]], None]]
 
 
+@pytest.fixture
+def program(tmp_path: Path) -> Iterator[Program]:
+    with running_program(tmp_path) as program:
+        yield program
+
+
 @pytest.fixture
 def program_behind_proxy(tmp_path: Path) -> Iterator[tuple[Program, Network]]:
     """The program, with a fault proxy between it and its exchange."""
@@ -87,6 +94,42 @@
     return caller
 
 
+def establish_calls_on_one_connection(program: Program) -> Peer:
+    """Establishes two calls; the second one comes on the same connection, as the other one is busier."""
+    caller = program.connect_caller()
+    caller.socket.settimeout(RELEASE_LIMIT_S + 1.0)
+    program.establish_call(caller)
+    program.establish_call(caller, OTHER)
+    assert program.exchange.connection_of[CALL] is program.exchange.connection_of[OTHER]
+    return caller
+
+
+def set_busy_circuits(program: Program, busy: int, *connections: Peer) -> None:
+    """Changes the state of the group and sends it on these connections, else on all."""
+    program.exchange.state = {Parameter.REPORT: f"idle:{60 - busy};circuits:60;max_rate:-1"}
+    program.exchange.send_state(*(connections or program.exchange.connections))
+
+
+@contextmanager
+def states_of_other_calls(program: Program, far_end_calls: int) -> Iterator[None]:
+    """Takes and frees a circuit for other calls again and again, so that the exchange is never silent."""
+    done = threading.Event()
+
+    def report_states() -> None:
+        turn = 0
+        while not done.wait(1.0 if turn == 0 else 0.5):
+            turn += 1
+            set_busy_circuits(program, far_end_calls + turn % 2)
+
+    thread = threading.Thread(target=report_states, daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        done.set()
+        thread.join()
+
+
 def expect_both_released(caller: Peer, since_s: float) -> None:
     released = [caller.receive() for _ in range(2)]
     took_s = time.monotonic() - since_s
@@ -95,3 +138,36 @@
         (MessageType.RELEASE, OTHER),
     }
     assert took_s < RELEASE_LIMIT_S
+
+
+@pytest.mark.parametrize("far_end_calls", [0, 20])
+def test_calls_whose_release_was_lost_twice_are_released_in_time(
+    program: Program, far_end_calls: int
+) -> None:
+    """Guards against calls that are never released because both connections with their release were reset."""
+    exchange = program.exchange
+    set_busy_circuits(program, far_end_calls + 2)
+    caller = establish_calls_on_one_connection(program)
+    carrying = exchange.connection_of[CALL]
+    # The calls end. What the exchange sends of it on this connection and on the next one is lost.
+    ended_at_s = time.monotonic()
+    set_busy_circuits(
+        program, far_end_calls, *[each for each in exchange.connections if each is not carrying]
+    )
+    exchange.resets_next_connection = True
+    exchange.disconnect(carrying, reset=True)
+    with states_of_other_calls(program, far_end_calls):
+        expect_both_released(caller, since_s=ended_at_s)
+
+
+def test_calls_that_go_on_are_kept_though_two_connections_in_a_row_were_reset(program: Program) -> None:
+    """Guards the promise beside the fault: no circuit became free, so none of the calls can have ended."""
+    exchange = program.exchange
+    caller = establish_calls_on_one_connection(program)
+    exchange.resets_next_connection = True
+    exchange.disconnect(exchange.connection_of[CALL], reset=True)
+    with states_of_other_calls(program, far_end_calls=18):
+        time.sleep(RELEASE_LIMIT_S + 1.0)
+    for call in (CALL, OTHER):
+        exchange.release(call, ReleaseCause.NORMAL)
+        assert caller.expect(MessageType.RELEASE, call).cause() == ReleaseCause.NORMAL
