Connections take turns, so that one client cannot hold up all callers

Cause: a connection handled all that the event loop had read, and the loop reads one connection up to 32 times in a row (256,000 bytes each) before it looks at another; unread bytes excused the client from every time limit. Evidence: timings added for it showed 42 callbacks of 101 to 296 ms with up to 17,067 messages of that connection, 34 of them in a row, the periodic check 7.9 s late; no batch of events took over 20 ms, the stand-ins lagged 0.054 s. Change: 16 KiB and 16 messages a turn for each connection; a time limit holds once something was read after it; message_budget.py limits the messages without effect of one caller's connection, which is closed beyond that if it carries no call.

--- a/arrowkeel/caller_release.py
+++ b/arrowkeel/caller_release.py
@@ -23,12 +23,14 @@
     SET_UP_DECLINED = "set_up_declined"  # it gives up a set-up that was declined on this connection
     OTHER_CONNECTION = "other_connection"  # it gives up an open set-up of another connection
     CALL_ENDED = "call_ended"  # the call has ended already
+    OVER_BUDGET = "over_budget"  # no such call is known, and the connection has named too many of that kind
 
 
 IGNORED_RELEASES = (
     ReleaseVerdict.SET_UP_DECLINED,
     ReleaseVerdict.OTHER_CONNECTION,
     ReleaseVerdict.CALL_ENDED,
+    ReleaseVerdict.OVER_BUDGET,
 )
 
 
@@ -69,6 +71,7 @@
     is_standing: bool  # the call is answered and not over
     is_own_connection: bool  # the release came on the connection that brought the set-up
     has_ended: bool  # the call is one of those that ended recently
+    is_over_budget: bool  # the connection has sent too many messages without effect
 
 
 def decide_caller_release(release: CallerRelease) -> ReleaseVerdict:
@@ -79,4 +82,6 @@
         return ReleaseVerdict.END_CALL
     if release.is_open:
         return ReleaseVerdict.END_CALL if release.is_own_connection else ReleaseVerdict.OTHER_CONNECTION
-    return ReleaseVerdict.CALL_ENDED if release.has_ended else ReleaseVerdict.PASS_ON
+    if release.has_ended:
+        return ReleaseVerdict.CALL_ENDED
+    return ReleaseVerdict.OVER_BUDGET if release.is_over_budget else ReleaseVerdict.PASS_ON
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 
 from arrowkeel.caller_release import DeclinedSetUps, ReleaseVerdict
+from arrowkeel.message_budget import MessageBudget
 from arrowkeel.net.codec import (
     NO_CALL_ID,
     MalformedMessageError,
@@ -123,7 +124,7 @@
 class CallerConnection(MessageConnection):
     """One connection from callers; the reply to a set-up goes out on the connection that brought it."""
 
-    def __init__(self, handler: CallerHandler, unsent_limit_bytes: int) -> None:
+    def __init__(self, handler: CallerHandler, unsent_limit_bytes: int, max_calls: int) -> None:
         super().__init__("caller", unsent_limit_bytes)
         self.handler = handler
         self.open_calls: set[str] = set()  # set up here, without their final answer yet
@@ -135,16 +136,20 @@
         # Connections that only test whether the controller accepts calls never carry one.
         self.has_carried_calls = False
         self.last_received_at_ns = self.connected_at_ns = time.monotonic_ns()
+        self.message_budget = MessageBudget.full(max_calls, self.connected_at_ns)
 
     def connection_made(self, transport: object) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
         self.handler.caller_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        super().connection_lost(exc)
         self.handler.caller_disconnected(self)
 
     def data_received(self, data: bytes) -> None:
-        self.last_received_at_ns = time.monotonic_ns()
+        if data:
+            self.last_received_at_ns = time.monotonic_ns()
+            self.message_budget.refill(self.last_received_at_ns)
         super().data_received(data)
 
     def handle_message(self, message: Message) -> None:
@@ -158,8 +163,9 @@
             case MessageType.TEST:
                 result = TEST_PASSED if self.handler.accepts_calls else TEST_FAILED
                 self.write(encode(MessageType.TEST_RESULT, message.call, {Parameter.CAUSE: result}))
+                self.count_message_without_effect()
             case MessageType.PROGRESS | MessageType.RELEASE_COMPLETE:
-                pass
+                self.count_message_without_effect()
             case _:
                 raise MalformedMessageError(f"message type {message.type} is not valid from a caller")
 
@@ -179,6 +185,7 @@
         else:
             if self.handler.call_offered(self, offer):
                 self.valid_set_ups += 1
+                self.message_budget.earn_call()
                 self.mark_as_carrying_calls()
                 return
         self.invalid_set_ups += 1
@@ -190,6 +197,17 @@
         verdict = self.handler.release_received(self, message.call, message.cause())
         if verdict not in (ReleaseVerdict.SET_UP_DECLINED, ReleaseVerdict.OTHER_CONNECTION):
             self.mark_as_carrying_calls()
+        if verdict is not ReleaseVerdict.END_CALL:
+            self.count_message_without_effect()
+
+    def count_message_without_effect(self) -> None:
+        """Closes the connection if it has sent too many of these and carries no call that would suffer."""
+        if not self.message_budget.is_exhausted:
+            self.message_budget.spend()
+        elif not self.open_calls and not self.standing_calls:
+            self.handle_protocol_error("too many messages without effect")
+        else:
+            log.warning("messages without effect over the limit", connection=self.number)
 
     def reject_set_up(self, call: str) -> None:
         """Rejects a set-up that is not valid; the identifier may be that of another caller's call."""
@@ -209,23 +227,33 @@
         log.warning("caller's connection closed", reason=reason)
         self.close()
 
-    @property
-    def first_set_up_timeout_ns(self) -> int:
-        """How long the connection may bring no valid set-up; longer while a message is incomplete."""
-        return INCOMPLETE_MESSAGE_TIMEOUT_NS if self.incomplete_since_ns else FIRST_SET_UP_TIMEOUT_NS
-
     def sweep(self, now_ns: int) -> None:
         """Closes the connection if a set-up or the rest of a message is overdue; called periodically."""
         if not self.is_open:
             if self.closing_since_ns and now_ns > self.closing_since_ns + CLOSE_TIMEOUT_NS:
                 self.abort()
-        elif self.has_unread_bytes:
-            pass  # what has arrived is read first, as it may be the set-up that is overdue
-        elif self.incomplete_since_ns and now_ns > self.incomplete_since_ns + INCOMPLETE_MESSAGE_TIMEOUT_NS:
+        elif self.incomplete_since_ns and self.is_overdue(
+            self.incomplete_since_ns + INCOMPLETE_MESSAGE_TIMEOUT_NS, now_ns
+        ):
             self.handle_protocol_error("message not completed in time")
-        elif not self.valid_set_ups and now_ns > self.connected_at_ns + self.first_set_up_timeout_ns:
+        elif not self.valid_set_ups and self.is_overdue(
+            self.connected_at_ns + self.first_set_up_timeout_ns, now_ns
+        ):
             self.handle_protocol_error("no valid set-up in time")
 
+    @property
+    def first_set_up_timeout_ns(self) -> int:
+        """How long the connection may bring no valid set-up; longer while a message is incomplete."""
+        return INCOMPLETE_MESSAGE_TIMEOUT_NS if self.incomplete_since_ns else FIRST_SET_UP_TIMEOUT_NS
+
+    def is_overdue(self, due_at_ns: int, now_ns: int) -> bool:
+        """Whether that moment has passed and what had arrived by then has been read.
+
+        A client that never stops sending always has unread bytes, so those that came later do not count.
+        """
+        has_read_since = self.last_received_at_ns > due_at_ns
+        return now_ns > due_at_ns and (has_read_since or not self.has_unread_bytes)
+
     def send_answer(self, call: str, description: bytes) -> bool:
         """Returns whether the answer was written."""
         return self.write(encode(MessageType.ANSWER, call, {Parameter.DESCRIPTION: description}))
--- a/arrowkeel/net/codec.py
+++ b/arrowkeel/net/codec.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator, Mapping
+from collections.abc import Generator, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -139,7 +139,15 @@
         self.buffer = bytearray()
         self.completed_count = 0  # messages completed by the latest call of `feed`
 
-    def feed(self, data: bytes) -> Iterator[Message]:
+    @property
+    def has_message(self) -> bool:
+        """Whether `feed` would yield a message, or raise an error, without further bytes."""
+        if len(self.buffer) < LENGTH_BYTES:
+            return False
+        size = LENGTH_BYTES + int.from_bytes(self.buffer[:LENGTH_BYTES], "big")
+        return len(self.buffer) >= size or not MESSAGE_HEADER.size <= size <= MAX_MESSAGE_BYTES
+
+    def feed(self, data: bytes) -> Generator[Message, None, None]:
         """Yields each message that is complete with these bytes.
 
         Raises MalformedMessageError at a message of invalid length, after yielding those before it.
--- a/arrowkeel/net/connection.py
+++ b/arrowkeel/net/connection.py
@@ -1,5 +1,9 @@
 """The base of connections to exchanges and from callers: decoding, bounded writing, rate-limited logging.
 
+Connections take turns: each handles a limited number of messages in one iteration of the event loop, and
+reads no more while complete messages are left. So a peer that never stops sending delays the others by one
+turn of its own in each iteration.
+
 A peer that sends malformed messages or stops reading has its connection closed, with a limited number of log
 entries and limited memory.
 """
@@ -22,6 +26,11 @@
 
 # Minimum time between two entries of the same event; the next entry says how many were left out in between.
 LOG_INTERVAL_NS = 5_000_000_000
+STALL_NS = 100_000_000  # a callback that keeps the event loop for longer is logged
+MESSAGES_PER_TURN = 16  # of one connection in one iteration of the event loop
+READ_SIZE_BYTES = 16 * 1024  # read from one connection at once
+# Filled and emptied within one event of one connection, hence shared by all of them.
+read_buffer = memoryview(bytearray(READ_SIZE_BYTES))
 
 
 connection_numbers = itertools.count(1)
@@ -60,6 +69,13 @@
 log = RateLimitedLog()
 
 
+def log_stall(event: str, started_at_ns: int, **fields: Any) -> None:
+    """Logs a callback that began at this moment, if it has kept the event loop for longer than STALL_NS."""
+    took_ns = time.monotonic_ns() - started_at_ns
+    if took_ns > STALL_NS:
+        log.warning(event, took_ms=took_ns // 1_000_000, **fields)
+
+
 @dataclass(frozen=True, slots=True)
 class SentRelease:
     """A release written to a connection, kept to be sent again if the connection loses it."""
@@ -68,7 +84,7 @@
     sent_at_ns: int  # when it was written
 
 
-class MessageConnection(asyncio.Protocol):
+class MessageConnection(asyncio.BufferedProtocol):
     """One connection that carries messages of many calls.
 
     Subclasses implement `handle_message`. `peer_name` names the peer in the log; a peer that leaves more than
@@ -83,6 +99,10 @@
         self.transport: asyncio.Transport | None = None
         self.incomplete_since_ns = 0  # since when an incomplete message is buffered; 0 while none is
         self.closing_since_ns = 0  # when `close` was first called; 0 before
+        self.ignores_input = False  # this side has closed the connection: received messages are discarded
+        self.is_turn_scheduled = False  # complete messages are left for the next turn
+        self.is_write_paused = False  # the peer does not read what is written
+        self.is_read_paused = False
         self.was_read_to_end = False  # the peer closed the connection and all that it sent has been read
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -95,27 +115,66 @@
 
     @property
     def has_unread_bytes(self) -> bool:
-        """Whether the socket holds received bytes that the event loop has not delivered yet."""
+        """Whether received bytes wait to be read from the socket, or to be handled in the next turn."""
         sock = self.transport.get_extra_info("socket") if self.transport is not None else None
         if sock is None or sock.fileno() < 0:
             return False
         count: int = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0]
-        return count > 0
+        return count > 0 or self.is_turn_scheduled
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns where the event loop writes what it reads."""
+        return read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Takes what the event loop has read."""
+        self.data_received(bytes(read_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Decodes the bytes, handles each complete message and notes whether an incomplete one is left."""
+        """Handles one turn of the complete messages; the rest follows in the next iterations of the loop."""
+        self.handle_messages(data, MESSAGES_PER_TURN)
+        if self.decoder.has_message and not self.ignores_input:
+            self.is_turn_scheduled = True
+            asyncio.get_running_loop().call_soon(self.take_turn)
+        self.update_reading()
+
+    def take_turn(self) -> None:
+        """Handles the next messages of those that have been read."""
+        if self.is_turn_scheduled:
+            self.is_turn_scheduled = False
+            self.data_received(b"")
+
+    def handle_messages(self, data: bytes, limit: int | None) -> None:
+        """Decodes the bytes, handles up to `limit` messages, and notes whether an incomplete one is left."""
+        started_at_ns = time.monotonic_ns()
+        messages = self.decoder.feed(data)
         try:
-            for message in self.decoder.feed(data):
-                if self.transport is None or self.transport.is_closing():
+            for message in itertools.islice(messages, limit):
+                if self.ignores_input:
                     return
                 self.handle_message(message)
         except MalformedMessageError as error:
             self.handle_protocol_error(str(error))
-        if not self.decoder.buffer:
+        finally:
+            messages.close()
+        log_stall(
+            "messages of one connection held up the event loop",
+            started_at_ns,
+            side=self.peer_name,
+            connection=self.number,
+            messages=self.decoder.completed_count,
+        )
+        if not self.decoder.buffer or self.decoder.has_message:
             self.incomplete_since_ns = 0
         elif self.decoder.completed_count or not self.incomplete_since_ns:
             self.incomplete_since_ns = time.monotonic_ns()
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Handles what was received before the connection ended; called by the event loop at the end."""
+        self.is_turn_scheduled = False
+        if not self.ignores_input:
+            self.handle_messages(b"", None)
+
     def eof_received(self) -> None:
         """Notes that the peer has closed the connection; this side closes it as well."""
         self.was_read_to_end = True
@@ -147,21 +206,34 @@
 
     def pause_writing(self) -> None:
         """Stops reading while the peer does not read, so that it can't cause more output."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self.is_write_paused = True
+        self.update_reading()
 
     def resume_writing(self) -> None:
         """Reads again once the peer has read enough."""
-        if self.transport is not None and not self.transport.is_closing():
+        self.is_write_paused = False
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Reads from the socket unless messages are left to handle or the peer does not read."""
+        should_pause = self.is_write_paused or self.is_turn_scheduled
+        if self.transport is None or self.transport.is_closing() or should_pause == self.is_read_paused:
+            return
+        self.is_read_paused = should_pause
+        if should_pause:
+            self.transport.pause_reading()
+        else:
             self.transport.resume_reading()
 
     def abort(self) -> None:
         """Closes the connection at once and discards what has not been sent."""
+        self.ignores_input = True
         if self.transport is not None:
             self.transport.abort()
 
     def close(self) -> None:
         """Closes the connection after everything written so far has been sent."""
+        self.ignores_input = True
         if self.transport is not None:
             self.closing_since_ns = self.closing_since_ns or time.monotonic_ns()
             self.transport.close()
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -26,6 +26,7 @@
 from arrowkeel.net.codec import ReleaseCause
 from arrowkeel.net.config import MS, Config
 from arrowkeel.net.connection import log as bad_input_log
+from arrowkeel.net.connection import log_stall
 from arrowkeel.net.exchange_connection import ExchangeConnection, SetUpRequest
 from arrowkeel.net.exchange_pool import ExchangePool
 from arrowkeel.net.membership import Membership
@@ -169,6 +170,7 @@
                 events[index] = replace(event, patience_ns=max(0, record.deadline_at_ns - now_ns))
         for action in self.policy.handle(now_ns, events):
             self.execute(action, now_ns)
+        log_stall("batch of events held up the event loop", now_ns, events=len(events))
 
     def is_withdrawn(self, event: it.Event) -> bool:
         """Returns whether the event offers a call that has ended since it was queued."""
@@ -369,6 +371,7 @@
                 is_standing=is_standing,
                 is_own_connection=record is not None and record.connection is connection,
                 has_ended=call in self.calls.ended,
+                is_over_budget=connection.message_budget.is_exhausted,
             )
         )
         if verdict in IGNORED_RELEASES:
--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -79,7 +79,8 @@
         config = self.config
 
         def new_caller_connection() -> CallerConnection:
-            return CallerConnection(self.controller, config.bounds.max_unsent_bytes)
+            bounds = config.bounds
+            return CallerConnection(self.controller, bounds.max_unsent_bytes, bounds.max_calls)
 
         # Whoever started this process keeps the inherited socket open, so that a successor gets it too.
         if config.accept_fd is not None:
--- a/tests/test_caller_releases.py
+++ b/tests/test_caller_releases.py
@@ -80,21 +80,25 @@
     assert program.exchange.expect(MessageType.RELEASE).cause() == NORMAL
 
 
+@pytest.mark.parametrize("is_over_budget", [True, False])
 @pytest.mark.parametrize("is_own_connection", [True, False])
 @pytest.mark.parametrize("state", ["open", "standing", "ended", "unknown"])
-def test_a_release_ends_what_its_connection_may_end(state: str, is_own_connection: bool) -> None:
+def test_a_release_ends_what_its_connection_may_end(
+    state: str, is_own_connection: bool, is_over_budget: bool
+) -> None:
     release = CallerRelease(
         was_declined=False,
         is_open=state == "open",
         is_standing=state == "standing",
         is_own_connection=is_own_connection,
         has_ended=state == "ended",
+        is_over_budget=is_over_budget,
     )
     expected = {
         "open": ReleaseVerdict.END_CALL if is_own_connection else ReleaseVerdict.OTHER_CONNECTION,
         "standing": ReleaseVerdict.END_CALL,
         "ended": ReleaseVerdict.CALL_ENDED,
-        "unknown": ReleaseVerdict.PASS_ON,
+        "unknown": ReleaseVerdict.OVER_BUDGET if is_over_budget else ReleaseVerdict.PASS_ON,
     }
     assert decide_caller_release(release) is expected[state]
 
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -17,6 +17,7 @@
     "departure",
     "caller_release",
     "release_delivery",
+    "message_budget",
 )
 # A whole module, or one name of a module. Of `random` only the seeded generator: the functions of that module
 # share a generator that is seeded by the system.
