After a stall beyond a call's deadline the policy gets its turn before the guard

Cause: the guard for unanswered calls was counted from the deadline. Change: the guard is counted from the first timer after the deadline.

--- a/arrowkeel/net/calls.py
+++ b/arrowkeel/net/calls.py
@@ -24,6 +24,7 @@
     sent_at_ns: int = 0  # start of the latest attempt
     abandon_at_ns: int = 0  # when the latest attempt is given up
     established_at_ns: int = 0  # when the call was answered
+    is_overdue: bool = False  # its deadline has passed, and the policy is to answer it now
 
     def cancel_timer(self) -> None:
         if self.timer is not None:
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -33,7 +33,7 @@
 from arrowkeel.net.metrics import ConnectionLoss, IgnoredExchangeRelease, Metrics, ReleaseReason
 from arrowkeel.policy import Policy
 
-# How long after its deadline a call is ended here if the policy has not answered it.
+# How long the policy has for its answer after the deadline of a call, before the call is ended here.
 OVERDUE_GRACE_NS = 15 * MS
 MAX_LOGGED_CALLS = 8  # call identifiers in one log entry
 log = structlog.get_logger()
@@ -251,7 +251,7 @@
             return
         if record.pool is not None and now_ns >= record.abandon_at_ns:
             self.abandon_attempt(call, record, it.Ending.NO_ANSWER)
-        if now_ns >= record.deadline_at_ns + OVERDUE_GRACE_NS:
+        if record.is_overdue:
             # By now the policy has answered each call that it knows; this makes sure that every other call
             # gets its one final answer too.
             log.error("call past its deadline without a final answer", call=call)
@@ -259,6 +259,8 @@
             self.fail_call(call, record)
             self.queue_event(it.CallerLeft(call))
         elif now_ns >= record.deadline_at_ns:
+            # Counted from now, not from the deadline: after a stall the policy has not had its turn yet.
+            record.is_overdue = True
             record.timer = self.loop.call_later(OVERDUE_GRACE_NS / 1e9, self.call_timer_expired, call, record)
         else:
             self.restart_timer(call, record)
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -195,6 +195,20 @@
     program.establish_call(caller, OTHER)  # the first set-up that the exchange receives
 
 
+def test_after_a_stall_beyond_the_deadline_the_policy_still_answers(program: Program) -> None:
+    """Guards against calls that are ended as overdue although the policy had no turn since the deadline."""
+    caller = program.connect_caller()
+    caller.set_up(patience_ms=300)
+    program.exchange.expect(MessageType.SET_UP)
+    program.process.send_signal(signal.SIGSTOP)
+    time.sleep(0.5)
+    program.process.send_signal(signal.SIGCONT)
+    assert caller.expect(MessageType.RELEASE).cause() not in (34, 42, 102)
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(20) == 0 and program.process.stdout is not None
+    assert not [line for line in program.process.stdout if "past its deadline" in line]
+
+
 def test_a_flood_of_invalid_set_ups_is_answered_disconnected_and_logged_sparsely(program: Program) -> None:
     for _ in range(3):
         invalid = program.connect_caller()
