--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,6 +9,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
 from rig import TROUBLE, Site, main
 
+RECORD = Path(sys.argv[1] if len(sys.argv) > 1 else Path(__file__).with_name("record.txt"))
 CALLS_PER_S, RUN_S = 60.0, 26.0
 CUT_EXCHANGE, CUT_AT_S, CUT_S = 2, 5.0, 3.5
 UNSENT_LIMIT_S, SLACK_S = 8.0, 0.05
@@ -16,7 +17,7 @@
 
 def build() -> Site:
     """Five exchanges; the network of one of them can be cut."""
-    return Site(Path(__file__).parent, 5, networked=(CUT_EXCHANGE,))
+    return Site(RECORD, 5, networked=(CUT_EXCHANGE,))
 
 
 async def case(site: Site) -> list[str]:
@@ -54,4 +55,4 @@
     return broken
 
 
-main(Path(__file__).parent, build, case)
+main(RECORD, build, case)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "rig2"))
 from rig import ANSWER, DESCRIPTION, SETTINGS, TROUBLE, Exchange, Peer, Site, encode, main
 
+RECORD = Path(sys.argv[1] if len(sys.argv) > 1 else Path(__file__).with_name("record.txt"))
 CALLS = 60
 EVERY = 10  # one answer in so many breaks off
 
@@ -18,7 +19,7 @@
     """A deployment whose class `colour-match` is `non_idempotent`."""
     settings = json.loads(json.dumps(SETTINGS))
     settings["classes"][1]["repeat"] = "non_idempotent"
-    return Site(Path(__file__).parent, 4, settings)
+    return Site(RECORD, 4, settings)
 
 
 async def case(site: Site) -> list[str]:
@@ -78,4 +79,4 @@
     return broken
 
 
-main(Path(__file__).parent, build, case)
+main(RECORD, build, case)
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -80,10 +80,10 @@
 
 
 class Record:
-    """The file `record.txt` of a case: what was sent, answered and run, with seconds since the start."""
+    """The file record.txt of a case: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder: Path) -> None:
-        self.file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: Path) -> None:
+        self.file = path.open("w", encoding="utf-8")
         self.started_at_s = time.monotonic()
 
     def now_s(self) -> float:
@@ -814,14 +814,14 @@
 
     def __init__(
         self,
-        folder: Path,
+        record: Path,
         exchanges: int,
         settings: dict[str, Any] | None = None,
         networked: tuple[int, ...] = (),
     ) -> None:
         self.networked = networked  # the numbers of the exchanges behind a `Network`
         self.networks: dict[int, Network] = {}
-        self.record = Record(folder)
+        self.record = Record(record)
         self.random = Random(22)
         self.temporary = tempfile.TemporaryDirectory(prefix="arrowkeel-review-")
         self.changelog = ChangeLog(self.record)
@@ -854,7 +854,7 @@
         self.temporary.cleanup()
 
 
-def main(folder: Path, site: Callable[[], Site], case: Callable[[Site], Awaitable[list[str]]]) -> None:
+def main(record: Path, site: Callable[[], Site], case: Callable[[Site], Awaitable[list[str]]]) -> None:
     """Runs a case and exits: 1 if it returns broken rules, 0 if it returns none, 2 if it could not run."""
 
     async def run() -> list[str]:
@@ -874,6 +874,8 @@
         broken = asyncio.run(run())
     except Exception:
         traceback.print_exc()
+        with record.open("a", encoding="utf-8") as file:
+            file.write(f"could not run:\n{traceback.format_exc()}")
         sys.exit(2)
     print("\n".join(broken[:10]) or "held")
     sys.exit(1 if broken else 0)
