Releases on a connection closed here in a network cut are repeated and told

Cause: the word that a connection was closed here as unresponsive travels like data. In a cut TCP repeats it at doubling intervals, so the exchange learns of it up to as long after the cut as the cut lasted, and sends releases there meanwhile. The next connection, up at once after the cut, was taken as proof that nothing is missing. The silence of the other connection was taken as proof too, also during a cut.

Evidence: debug logs beside the exchange's record. Each lost call looked up had its release sent on the closed connection after the new one had come up; no release of a lost call was received or ignored.

Change: close_notice.py keeps by when the exchange must have learned; until then release_delivery.py has connections opened at intervals of 0.5 s, if circuits became free, and one after that time. It also holds for spare connections, malformed answers, calls whose own connection ends in order, and for a successor after a cut. The newest spare connection is closed, no longer the oldest, and set-ups stay on the two oldest. The soak's network passes the end of a connection on late as well.

test_a_release_that_crosses_the_closing_of_a_surplus_connection_is_received accepted three connections where its dials may open four, and took it that the oldest is closed. It accepts all now, and is as strict otherwise.

--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -32,6 +32,7 @@
 from arrowkeel.net.membership import Membership
 from arrowkeel.net.metrics import ConnectionLoss, IgnoredExchangeRelease, Metrics, ReleaseReason
 from arrowkeel.policy import Policy
+from arrowkeel.release_delivery import Clearance
 
 # How long the policy has for its answer after the deadline of a call, before the call is ended here.
 OVERDUE_GRACE_NS = 15 * MS
@@ -521,6 +522,9 @@
     def exchange_connection_lost(self, loss: ConnectionLoss) -> None:
         self.metrics.exchange_connections_lost[loss] += 1
 
+    def suspicion_cleared(self, clearance: Clearance) -> None:
+        self.metrics.suspicions_cleared[clearance] += 1
+
     # Calls whose exchange will not release them any more
 
     def exchange_process_died(self, pool: ExchangePool) -> None:
--- a/arrowkeel/net/exchange_connection.py
+++ b/arrowkeel/net/exchange_connection.py
@@ -108,6 +108,22 @@
         self.loss = loss
         self.abort()
 
+    def abort(self) -> None:
+        """Closes the connection at once; keeps a reason that is already set."""
+        self.loss = self.loss or ConnectionLoss.CLOSED_BY_US
+        super().abort()
+
+    def handle_protocol_error(self, reason: str) -> None:
+        """Closes the connection after malformed input."""
+        self.loss = self.loss or ConnectionLoss.MALFORMED
+        super().handle_protocol_error(reason)
+
+    @property
+    def unacknowledged_since_ns(self) -> int:
+        """Since when what was sent, the end of the connection included, may not have reached the exchange."""
+        since_ns = [ns for ns in (self.awaiting_since_ns, self.finishing_since_ns) if ns]
+        return min(since_ns, default=time.monotonic_ns())
+
     def close(self) -> None:
         """Closes the connection once its output has been sent; keeps a reason that is already set."""
         self.loss = self.loss or ConnectionLoss.CLOSED_BY_US
--- a/arrowkeel/net/exchange_pool.py
+++ b/arrowkeel/net/exchange_pool.py
@@ -21,7 +21,7 @@
 from arrowkeel.net.connection import RateLimitedLog
 from arrowkeel.net.exchange_connection import RESPONSE_TIMEOUT_NS, ExchangeConnection, SetUpRequest
 from arrowkeel.net.metrics import ConnectionLoss
-from arrowkeel.release_delivery import ReleaseDelivery
+from arrowkeel.release_delivery import Clearance, ReleaseDelivery
 
 # The delay between dials to an exchange that accepts no connection or drops it at once: the first delay, and
 # the maximum that it doubles up to.
@@ -38,6 +38,7 @@
 # An exchange is dialled if no connection has received anything for this long: on a new connection it reports
 # the group state and the releases that were missed.
 MAX_IDLE_NS = 3000 * MS
+SPARE_MIN_AGE_NS = 300 * MS  # of the newest connection, so that the releases repeated on it have arrived
 FINISH_TIMEOUT_NS = 1000 * MS  # for the exchange to close a spare connection after this side has
 log = structlog.get_logger()
 
@@ -83,6 +84,7 @@
     def exchange_connection_lost(self, loss: ConnectionLoss) -> None: ...
     def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None: ...
     def releases_lost(self, pool: ExchangePool, calls: list[str]) -> None: ...
+    def suspicion_cleared(self, clearance: Clearance) -> None: ...
 
 
 class ExchangePool:
@@ -115,7 +117,7 @@
         self.is_silent = False  # as last logged
         self.rate_limited_log = RateLimitedLog()
         self.liveness = ExchangeLiveness(config.settings.is_mesh)
-        self.release_delivery = ReleaseDelivery(config.settings.is_mesh)
+        self.release_delivery = ReleaseDelivery(config.settings.is_mesh, time.monotonic_ns())
         self.last_reported_state: bytes | None = None  # the group state last passed to the controller
         self.queued_set_ups: dict[str, SetUpRequest] = {}  # by call id; for the next connection
         self.waiting_releases: dict[str, int] = {}  # call id -> cause; for the next connection
@@ -211,6 +213,8 @@
         now_ns = time.monotonic_ns()
         if failure is DialFailure.TIMED_OUT:
             self.liveness.record_dial_timeout()
+        if failure in (DialFailure.TIMED_OUT, DialFailure.UNREACHABLE):
+            self.release_delivery.exchange_unreachable(now_ns)
         if failure is DialFailure.REFUSED and self.record_refusal(now_ns):
             # The exchange is idle, not lost: the next dial is due if it still is after MAX_IDLE_NS.
             self.refusal_evidence_at_ns = now_ns
@@ -243,10 +247,15 @@
         The set-ups may have reached the exchange. The connection is replaced.
         """
         now_ns = time.monotonic_ns()
-        by_peer = loss in (ConnectionLoss.CLOSED_BY_PEER, ConnectionLoss.RESET)
-        self.liveness.remove_connection(connection.number, now_ns, by_peer)
+        # Malformed data shows as well as an end that the process was alive a moment ago.
+        was_just_alive = loss.is_by_peer or loss is ConnectionLoss.MALFORMED
+        self.liveness.remove_connection(connection.number, now_ns, was_just_alive)
         standing_calls = self.release_delivery.connection_lost(
-            connection.number, connection.last_received_at_ns, now_ns, connection.was_read_to_end
+            connection.number,
+            connection.last_received_at_ns,
+            now_ns,
+            connection.was_read_to_end,
+            closed_with_output_since_ns=0 if loss.is_by_peer else connection.unacknowledged_since_ns,
         )
         if connection not in self.connections:
             return
@@ -366,16 +375,32 @@
         self.log_silence(now_ns, len(unresponsive))
         if not are_all_unresponsive:  # otherwise the machine may be cut off, and closing shows nothing
             self.close_unresponsive(unresponsive)
+        elif unresponsive:
+            self.release_delivery.exchange_unreachable(now_ns)
         is_idle = (
             now_ns - max(self.last_received_at_ns, self.refusal_evidence_at_ns, self.connected_at_ns)
             > MAX_IDLE_NS
         )
         needs_connection = is_idle or are_all_unresponsive or self.needs_repeated_releases(now_ns)
-        if self.connections and needs_connection and self.reconnect_timer is None:
+        has_room = 0 < len(self.connections) < MAX_CONNECTIONS_PER_EXCHANGE
+        if needs_connection and has_room and self.reconnect_timer is None:
             self.dial()
         elif sum(each.is_open for each in self.connections) > CONNECTIONS_PER_EXCHANGE:
-            self.close_spare_connection()
+            self.close_spare_connection(now_ns)
         self.abort_unfinished(now_ns)
+        self.report_cleared()
+
+    def report_cleared(self) -> None:
+        """Logs and counts the calls whose release is known not to be lost."""
+        for cleared in self.release_delivery.take_cleared():
+            self.handler.suspicion_cleared(cleared.clearance)
+            log.info(
+                "no release was lost",
+                exchange=self.exchange,
+                clearance=cleared.clearance.value,
+                calls=cleared.calls,
+                suspected_for_ms=cleared.suspected_for_ns // MS,
+            )
 
     def needs_repeated_releases(self, now_ns: int) -> bool:
         """Whether a new connection is due so that the exchange repeats releases that may be lost on it."""
@@ -399,9 +424,14 @@
             if connection.open_set_ups or not self.liveness.must_keep_open(connection.number):
                 connection.abort_as(ConnectionLoss.UNRESPONSIVE)
 
-    def close_spare_connection(self) -> None:
-        """Closes one connection more than is kept, if one is unused and is not needed as evidence."""
-        unused = [each for each in self.connections if each.is_open and not each.open_set_ups]
+    def close_spare_connection(self, now_ns: int) -> None:
+        """Closes one connection more than is kept, if one is unused and is not needed as evidence.
+
+        The newest goes first: hardly any call stands on it, so that hardly any release can cross its end.
+        """
+        if now_ns - self.connected_at_ns < SPARE_MIN_AGE_NS:
+            return
+        unused = [each for each in reversed(self.connections) if each.is_open and not each.open_set_ups]
         spare = next((each for each in unused if not self.liveness.must_keep_open(each.number)), None)
         if spare is not None:
             spare.finish()
@@ -416,7 +446,8 @@
         if self.is_closed or not self.is_serving:
             self.handler.attempt_ended(request.call, it.Ending.NOT_SENT)
         elif connections := self.usable_connections():
-            self.send_request(request, min(connections, key=lambda each: len(each.open_set_ups)))
+            lasting = connections[:CONNECTIONS_PER_EXCHANGE]  # the newer ones are closed again as spare ones
+            self.send_request(request, min(lasting, key=lambda each: len(each.open_set_ups)))
         elif len(self.queued_set_ups) >= self.bounds.max_table_entries:
             self.handler.attempt_ended(request.call, it.Ending.NOT_SENT)
         else:
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -13,6 +13,7 @@
 
 from arrowkeel import interface as it
 from arrowkeel.caller_release import IGNORED_RELEASES, ReleaseVerdict
+from arrowkeel.release_delivery import Clearance
 
 Label = TypeVar("Label", bound=Enum)
 
@@ -33,8 +34,14 @@
     CLOSED_BY_PEER = "closed_by_peer"
     RESET = "reset"
     UNRESPONSIVE = "mute"  # open, but something that was due on it did not arrive in time
+    MALFORMED = "malformed"  # the exchange sent what cannot be read
     CLOSED_BY_US = "closed_by_us"
 
+    @property
+    def is_by_peer(self) -> bool:
+        """Whether the exchange ended the connection, and so knows of its end."""
+        return self in (ConnectionLoss.CLOSED_BY_PEER, ConnectionLoss.RESET)
+
 
 class IgnoredExchangeRelease(Enum):
     """Why a release from an exchange was not passed on; label of `exchange_releases_ignored`."""
@@ -55,6 +62,7 @@
         self.attempts_ended = Counter[it.Ending]()
         self.refusals = Counter[it.RefusalReason]()
         self.standing_released = Counter[ReleaseReason]()
+        self.suspicions_cleared = Counter[Clearance]()
         self.exchange_connections_lost = Counter[ConnectionLoss]()
         self.dials_failed = 0
         self.exchange_releases_ignored = Counter[IgnoredExchangeRelease]()
@@ -78,6 +86,7 @@
         counts |= counters_by_label("attempts_ended", it.Ending, self.attempts_ended)
         counts |= counters_by_label("refusals", it.RefusalReason, self.refusals)
         counts |= counters_by_label("standing_released", ReleaseReason, self.standing_released)
+        counts |= counters_by_label("suspicions_cleared", Clearance, self.suspicions_cleared)
         counts |= counters_by_label(
             "exchange_connections_lost", ConnectionLoss, self.exchange_connections_lost
         )
--- a/arrowkeel/release_delivery.py
+++ b/arrowkeel/release_delivery.py
@@ -13,12 +13,19 @@
 connection would have reported. Otherwise the calls are returned for release: at once if the state of the
 group shows that all of them have ended, and at the latest RELEASE_TIMEOUT_NS after the first of them may
 have ended.
+
+Where this side closed the connection, the exchange may take it for open for some time longer and send
+releases there (`close_notice`). The next connection then repeats only the releases that were sent before it
+was opened. So while a notice of a closed connection is outstanding, each new connection begins another
+suspicion, and another connection is due REPEAT_INTERVAL_NS later, until one is opened after the notice.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 
+from arrowkeel.close_notice import CloseNotices
 from arrowkeel.liveness import GroupState
 
 MS = 1_000_000
@@ -28,6 +35,27 @@
 # Longer than a round trip to any exchange and the difference between two connections to it.
 CONFIRMATION_DELAY_NS = 250 * MS
 MAX_SUSPICIONS = 32  # at one exchange; further losses of connections widen the latest one
+# Between two connections that are opened so that the exchange repeats the releases it sent on a closed one.
+REPEAT_INTERVAL_NS = 500 * MS
+# Calls of the process before this one may stand, and its connections may end, for this long after the start:
+# it may go on beside its successor for the longest deadline of a stop.
+PREDECESSOR_NS = 20_000 * MS
+
+
+class Clearance(Enum):
+    """Why suspected calls are known to have lost no release; label of `suspicions_cleared`."""
+
+    DELIVERED = "delivered"  # the connections that may have carried the repetition have delivered it
+    NO_CIRCUIT_FREED = "no_circuit_freed"  # another connection reported that no call has ended
+
+
+@dataclass(frozen=True, slots=True)
+class ClearedSuspicion:
+    """The calls that are no longer suspected, for the log."""
+
+    clearance: Clearance
+    calls: int
+    suspected_for_ns: int
 
 
 @dataclass(slots=True)
@@ -45,6 +73,7 @@
 
     opened_at_ns: int
     first_received_at_ns: int = 0  # 0 before the first message
+    last_received_at_ns: int = 0
 
     def is_confirmed(self, now_ns: int) -> bool:
         """Whether everything has arrived that the exchange sent when the connection was opened."""
@@ -66,11 +95,17 @@
     awaits_connection: bool = True  # the next connection after the loss has not been opened yet
     has_lost_carrier: bool = False  # a connection that may have carried the repetition is lost as well
     has_freed_circuits: bool = False  # circuits became free while a release may have been lost
+    # The exchange may send releases on a closed connection, until the next one is opened.
+    is_notice_outstanding: bool = False
 
     def is_settled(self, now_ns: int) -> bool:
         """Whether the exchange knows of the loss, and its reports of the time before have arrived."""
         return now_ns - self.lost_at_ns >= CONFIRMATION_DELAY_NS
 
+    def is_at_risk(self, now_ns: int) -> bool:
+        """Whether a release that the exchange sends now may be lost."""
+        return not self.is_settled(now_ns) or (self.is_notice_outstanding and self.awaits_connection)
+
     @property
     def is_delivered(self) -> bool:
         """Whether each connection that may have carried a repetition has delivered it."""
@@ -86,6 +121,7 @@
         self.awaits_connection |= other.awaits_connection
         self.has_lost_carrier |= other.has_lost_carrier
         self.has_freed_circuits |= other.has_freed_circuits
+        self.is_notice_outstanding |= other.is_notice_outstanding
 
 
 class ReleaseDelivery:
@@ -94,9 +130,13 @@
     `connection` arguments are the numbers of connections, `now_ns` is the current time.
     """
 
-    def __init__(self, is_mesh: bool) -> None:
+    def __init__(self, is_mesh: bool, started_at_ns: int = -PREDECESSOR_NS) -> None:
         # Only in a mesh is each change of the circuit group reported at once.
         self.is_mesh = is_mesh
+        self.started_at_ns = started_at_ns  # of this process
+        self.close_notices = CloseNotices()
+        self.opened_at_ns = 0  # when the latest connection was opened; 0 before the first
+        self.cleared: list[ClearedSuspicion] = []  # until `take_cleared`
         self.calls: dict[str, HeldCall] = {}
         self.connections: dict[int, OpenConnection] = {}
         self.suspicions: list[Suspicion] = []
@@ -128,24 +168,45 @@
     def connection_opened(self, connection: int, now_ns: int) -> None:
         """Records a new connection, on which the exchange repeats the releases since the one before."""
         self.connections[connection] = OpenConnection(now_ns)
+        self.opened_at_ns = now_ns
         for suspicion in self.suspicions:
             if suspicion.awaits_connection:
                 suspicion.awaits_connection = False
                 suspicion.carriers.add(connection)
+        if self.close_notices.are_outstanding(now_ns):
+            self.suspect_calls(now_ns, now_ns)
 
     def message_received(self, connection: int, now_ns: int) -> None:
         """Records a message on a connection."""
+        self.close_notices.record_reached(now_ns)
         state = self.connections.get(connection)
-        if state is not None and not state.first_received_at_ns:
-            state.first_received_at_ns = now_ns
+        if state is not None:
+            state.first_received_at_ns = state.first_received_at_ns or now_ns
+            state.last_received_at_ns = now_ns
+
+    def exchange_unreachable(self, now_ns: int) -> None:
+        """Records that no connection works and none comes up: the network may be cut.
+
+        A process that has just started counts its predecessor's connections as closed at this moment.
+        """
+        self.close_notices.record_unreachable(now_ns)
+        is_young = now_ns - self.started_at_ns < PREDECESSOR_NS
+        if is_young and not self.close_notices.are_outstanding(now_ns):
+            self.close_notices.add(now_ns)
 
     def connection_lost(
-        self, connection: int, last_received_at_ns: int, now_ns: int, was_read_to_end: bool
+        self,
+        connection: int,
+        last_received_at_ns: int,
+        now_ns: int,
+        was_read_to_end: bool,
+        closed_with_output_since_ns: int = 0,
     ) -> int:
         """Suspects the calls whose release may have been lost with this connection.
 
         `was_read_to_end` says that the exchange closed the connection and everything it sent has arrived.
-        Returns the number of standing calls that were set up on the connection.
+        `closed_with_output_since_ns` is not 0 where this side closed it: since when what it sent may not have
+        arrived. Returns the number of standing calls that were set up on the connection.
         """
         state = self.connections.pop(connection, None)
         if state is None:
@@ -158,8 +219,12 @@
         set_up_here = [held for held in self.calls.values() if held.connection == connection]
         for held in set_up_here:
             held.connection = None
+        if closed_with_output_since_ns and not was_read_to_end:
+            self.close_notices.add(closed_with_output_since_ns)
         if not was_read_to_end:
             self.suspect_calls(last_received_at_ns, now_ns)
+        elif self.close_notices.are_outstanding(now_ns):
+            self.suspect_calls(now_ns, now_ns)  # the exchange may choose a closed connection for them
         return len(set_up_here)
 
     def connection_reset_while_new(self, connection: int, now_ns: int) -> None:
@@ -178,6 +243,7 @@
             earliest_end_ns=max(last_received_at_ns, established_at_ns),
             window_start_ns=max(last_received_at_ns - CONFIRMATION_DELAY_NS, established_at_ns),
             lost_at_ns=now_ns,
+            is_notice_outstanding=self.close_notices.are_outstanding(now_ns),
         )
         suspicion.carriers = {
             number
@@ -195,7 +261,37 @@
     def needs_connection(self, now_ns: int) -> bool:
         """Whether a connection has to be opened so that the exchange repeats its releases."""
         self.drop_disproved(now_ns)
-        return any(each.awaits_connection and each.is_settled(now_ns) for each in self.suspicions)
+        return any(
+            each.awaits_connection and self.is_repetition_due(each, now_ns) for each in self.suspicions
+        ) or self.needs_predecessors_releases(now_ns)
+
+    def is_repetition_due(self, suspicion: Suspicion, now_ns: int) -> bool:
+        """Whether a connection opened now would bring the releases that this suspicion is about.
+
+        The first one after a loss is due at once, further ones at intervals while a notice is outstanding.
+        """
+        if not suspicion.is_settled(now_ns):
+            return False
+        witnessed_until_ns = 0 if suspicion.has_freed_circuits else self.witnessed_until_ns(suspicion)
+        known_until_ns = max(self.opened_at_ns, witnessed_until_ns)
+        if known_until_ns < suspicion.lost_at_ns:
+            return True
+        if self.close_notices.are_outstanding(now_ns):
+            return now_ns - known_until_ns >= REPEAT_INTERVAL_NS
+        # A connection that has been open all the time may still bring a message that spares a new one.
+        is_witness_overdue = now_ns - self.close_notices.last_arrival_ns >= CONFIRMATION_DELAY_NS
+        return suspicion.has_freed_circuits or is_witness_overdue
+
+    def needs_predecessors_releases(self, now_ns: int) -> bool:
+        """Whether releases of calls that are unknown here may be lost: those of the process before this one.
+
+        No suspicion stands for them, so that connections are opened at intervals and after the last notice.
+        """
+        if now_ns - self.started_at_ns >= PREDECESSOR_NS or not self.opened_at_ns:
+            return False
+        if self.close_notices.are_outstanding(now_ns):
+            return now_ns - self.opened_at_ns >= REPEAT_INTERVAL_NS
+        return self.opened_at_ns < self.close_notices.last_arrival_ns
 
     # The state of the circuit group
 
@@ -205,16 +301,22 @@
         if earlier is None or state.free_circuits > earlier.free_circuits:
             self.freed_at_ns = now_ns
             for suspicion in self.suspicions:
-                suspicion.has_freed_circuits |= not suspicion.is_settled(now_ns)
-
-    def has_witness(self, suspicion: Suspicion) -> bool:
-        """Whether an open connection has reported every change of the group since a call may have ended."""
-        return (
-            self.is_mesh
-            and self.group_state is not None
-            and self.group_state.group_size > 0
-            and any(each.opened_at_ns < suspicion.window_start_ns for each in self.connections.values())
-        )
+                suspicion.has_freed_circuits |= suspicion.is_at_risk(now_ns)
+
+    def witnessed_until_ns(self, suspicion: Suspicion) -> int:
+        """Until when open connections have reported every change of the group since a call may have ended.
+
+        0 if none has. Where this side closed the connection the network may be cut, and then the silence of
+        the others proves nothing: only what they delivered since does.
+        """
+        if not self.is_mesh or self.group_state is None or self.group_state.group_size <= 0:
+            return 0
+        witnesses = [
+            each for each in self.connections.values() if each.opened_at_ns < suspicion.window_start_ns
+        ]
+        if not suspicion.is_notice_outstanding:
+            return suspicion.lost_at_ns + CONFIRMATION_DELAY_NS if witnesses else 0
+        return max((each.last_received_at_ns for each in witnesses), default=0) - CONFIRMATION_DELAY_NS
 
     def are_circuits_missing(self) -> bool:
         """Whether so few circuits are busy that every call whose release is lost must have ended."""
@@ -233,15 +335,47 @@
             suspicion.carriers = {
                 number for number in suspicion.carriers if not self.connections[number].is_confirmed(now_ns)
             }
-        self.suspicions = [each for each in self.suspicions if not self.is_disproved(each, now_ns)]
-
-    def is_disproved(self, suspicion: Suspicion, now_ns: int) -> bool:
-        """Whether no release of the suspected calls can have been lost."""
+        kept: list[Suspicion] = []
+        for suspicion in self.suspicions:
+            clearance = self.find_clearance(suspicion, now_ns)
+            if clearance is None:
+                kept.append(suspicion)
+            elif (
+                clearance is Clearance.NO_CIRCUIT_FREED
+                and suspicion.awaits_connection
+                and self.close_notices.are_outstanding(now_ns)
+            ):
+                self.advance(suspicion)
+                kept.append(suspicion)
+            else:
+                self.cleared.append(
+                    ClearedSuspicion(clearance, len(suspicion.calls), now_ns - suspicion.lost_at_ns)
+                )
+        self.suspicions = kept
+
+    def find_clearance(self, suspicion: Suspicion, now_ns: int) -> Clearance | None:
+        """Why no release of the suspected calls can have been lost up to now; None if one can."""
         if not suspicion.is_settled(now_ns):
-            return False
+            return None
         if suspicion.is_delivered:
-            return True
-        return not suspicion.has_freed_circuits and self.has_witness(suspicion)
+            return Clearance.DELIVERED
+        at_risk_until_ns = suspicion.lost_at_ns
+        if suspicion.is_notice_outstanding and not self.close_notices.are_outstanding(now_ns):
+            at_risk_until_ns = max(at_risk_until_ns, self.close_notices.last_arrival_ns)
+        if not suspicion.has_freed_circuits and self.witnessed_until_ns(suspicion) >= at_risk_until_ns:
+            return Clearance.NO_CIRCUIT_FREED
+        return None
+
+    def advance(self, suspicion: Suspicion) -> None:
+        """Moves the begin of a suspicion up to where no call has ended, as the exchange has no notice yet."""
+        witnessed_until_ns = self.witnessed_until_ns(suspicion)
+        suspicion.earliest_end_ns = max(suspicion.earliest_end_ns, witnessed_until_ns)
+        suspicion.window_start_ns = max(suspicion.window_start_ns, witnessed_until_ns)
+
+    def take_cleared(self) -> list[ClearedSuspicion]:
+        """Returns the suspicions that were dropped since the last call."""
+        cleared, self.cleared = self.cleared, []
+        return cleared
 
     def remove_lost_calls(self, now_ns: int) -> list[str]:
         """Removes the calls that must be released as their release may be lost; returns their ids."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -14,12 +14,13 @@
 import subprocess
 import sys
 import threading
+import time
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
 from typing import Any
 
-from arrowkeel.net.codec import Decoder, Message, MessageType, Parameter, encode
+from arrowkeel.net.codec import Decoder, Message, MessageType, Parameter, ReleaseCause, encode
 from arrowkeel.net.config import ClockOffset, Config, read_config
 from arrowkeel.net.exchange_pool import CONNECTIONS_PER_EXCHANGE
 
@@ -140,6 +141,8 @@
         self.state = GROUP_STATE
         self.unresponsive: Peer | None = None  # a connection that stays open and on which no state is sent
         self.resets_next_connection = False  # before anything is sent on it
+        self.releases_to_repeat: list[str] = []  # calls whose release goes out on the next connection too
+        self.notice_delay_s = 0.0  # how much later it learns that the program has closed a connection
         self.opened_connections: queue.Queue[Peer] = queue.Queue()
         self.received: queue.Queue[tuple[Peer, Message]] = queue.Queue()
         self.closed_connections: queue.Queue[Peer] = queue.Queue()
@@ -158,6 +161,9 @@
                 continue
             self.connections.append(connection)
             self.send_state(connection)
+            releases_to_repeat, self.releases_to_repeat = self.releases_to_repeat, []
+            for call in releases_to_repeat:
+                connection.release(call, ReleaseCause.NORMAL)
             self.opened_connections.put(connection)
             threading.Thread(target=self.read, args=(connection,), daemon=True).start()
 
@@ -173,6 +179,7 @@
             if message.type == MessageType.SET_UP:
                 self.send_state(*self.connections)
             self.received.put((connection, message))
+        time.sleep(self.notice_delay_s)
         self.connections.remove(connection)
         connection.socket.close()
         self.closed_connections.put(connection)
@@ -192,6 +199,7 @@
         ).send(message_type, call, parameters)
 
     def release(self, call: str, cause: int) -> None:
+        self.releases_to_repeat.append(call)
         self.send(MessageType.RELEASE, call, {Parameter.CAUSE: bytes((cause,))})
 
     def disconnect(self, *connections: Peer, reset: bool) -> None:
@@ -325,9 +333,14 @@
             b"".join(json.dumps(line).encode() + b"\n" for line in lines)
         )
 
-    def establish_call(self, caller: Peer, call: str = CALL) -> None:
+    def establish_call(
+        self,
+        caller: Peer,
+        call: str = CALL,
+        changes: dict[Parameter, bytes | str | None] | None = None,
+    ) -> None:
         """Has this caller offer a call and the exchange answer it, so that it stands."""
-        caller.set_up(call)
+        caller.set_up(call, changes=changes)
         self.exchange.expect(MessageType.SET_UP, call)
         self.exchange.send(MessageType.ANSWER, call, {Parameter.DESCRIPTION: b"answer \x01"})
         assert caller.expect(MessageType.ANSWER, call).parameters == {Parameter.DESCRIPTION: b"answer \x01"}
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -16,6 +16,7 @@
     "liveness",
     "departure",
     "caller_release",
+    "close_notice",
     "release_delivery",
     "message_budget",
 )
@@ -23,6 +24,7 @@
 # share a generator that is seeded by the system.
 ALLOWED_IMPORTS = {
     "__future__",
+    "arrowkeel.close_notice",
     "arrowkeel.interface",
     "arrowkeel.liveness",
     "arrowkeel.processor",
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -18,6 +18,7 @@
 from arrowkeel.net.exchange_connection import ExchangeConnection, SetUpRequest
 from arrowkeel.net.exchange_pool import CONNECTIONS_PER_EXCHANGE, ExchangePool
 from arrowkeel.net.metrics import ConnectionLoss
+from arrowkeel.release_delivery import Clearance
 from tests.peers import CALL, OTHER, Exchange, Listener, Peer, make_config
 
 
@@ -66,6 +67,9 @@
     def exchange_process_died(self, pool: ExchangePool) -> None:
         self.reported.put_nowait(("died",))
 
+    def suspicion_cleared(self, clearance: Clearance) -> None:
+        self.reported.put_nowait(("cleared", clearance))
+
 
 def set_up_request(call: str, abandon_at_ns: int = 1 << 62) -> SetUpRequest:
     return SetUpRequest(call, "voice", "77", b"x", abandon_at_ns)
@@ -229,11 +233,12 @@
 
     async def scenario(pool: ExchangePool, handler: RecordingHandler) -> None:
         loop = asyncio.get_running_loop()
-        peers: list[Peer] = []
-        while len(peers) <= CONNECTIONS_PER_EXCHANGE:
+        while len(pool.connections) <= CONNECTIONS_PER_EXCHANGE:
             pool.dial()
-            peers.append(Peer(await loop.run_in_executor(None, listener.accept)))
-            await wait_until(lambda: len(pool.connections) >= len(peers))
+            await asyncio.sleep(0.001)
+        await wait_until(lambda: pool.dial_task is None)
+        # Any of them may be the one that is closed, also one that was dialled beside the others.
+        peers = [Peer(await loop.run_in_executor(None, listener.accept)) for _ in pool.connections]
         await sweep_until(pool, lambda: any(each.finishing_since_ns for each in pool.connections))
         readable, _, _ = await loop.run_in_executor(
             None, select.select, [each.socket for each in peers], [], []
--- a/tests/test_release_delivery.py
+++ b/tests/test_release_delivery.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+
 import pytest
 
+from arrowkeel.close_notice import RETRANSMISSION_MARGIN_NS
 from arrowkeel.liveness import GroupState
 from arrowkeel.release_delivery import (
     CONFIRMATION_DELAY_NS,
     MAX_SUSPICIONS,
     MS,
+    PREDECESSOR_NS,
     RELEASE_TIMEOUT_NS,
+    REPEAT_INTERVAL_NS,
     ReleaseDelivery,
 )
 
@@ -190,3 +195,111 @@
         delivery.connection_opened(101 + loss, lost_at + MS)
     assert len(delivery.suspicions) <= MAX_SUSPICIONS
     assert delivery.remove_lost_calls(LOST_AT + RELEASE_TIMEOUT_NS) == [CALL, OTHER]
+
+
+# Connections closed by this side, whose end the exchange may learn late
+
+CUT_NS = 3000 * MS  # from the loss until the exchange is reached again
+REACHED_AT = LOST_AT + CUT_NS
+NOTICE_AT = REACHED_AT + CUT_NS + RETRANSMISSION_MARGIN_NS  # by when the exchange has learned of the end
+
+
+def close_in_a_cut(delivery: ReleaseDelivery) -> None:
+    """This side closes the connection that carries both calls; the other one is silent until the cut ends."""
+    delivery.connection_lost(CARRYING, LOST_AT - MS, LOST_AT, False, closed_with_output_since_ns=LOST_AT)
+    delivery.exchange_unreachable(LOST_AT + 500 * MS)
+
+
+def open_when_due(delivery: ReleaseDelivery, from_ns: int, until_ns: int) -> list[int]:
+    """Opens and confirms a connection whenever one is due; returns when they were opened."""
+    opened_at_ns = []
+    for now_ns in range(from_ns, until_ns, 50 * MS):
+        assert delivery.remove_lost_calls(now_ns) == []
+        if delivery.needs_connection(now_ns):
+            opened_at_ns.append(now_ns)
+            delivery.connection_opened(100 + len(opened_at_ns), now_ns)
+            delivery.message_received(100 + len(opened_at_ns), now_ns + MS)
+    return opened_at_ns
+
+
+@pytest.mark.parametrize("is_mesh", [True, False])
+def test_connections_are_opened_until_the_exchange_has_learned_of_a_closed_one(is_mesh: bool) -> None:
+    """Guards against releases that an exchange sends on a connection which this side has closed in a cut."""
+    delivery = delivery_with_calls(is_mesh)
+    close_in_a_cut(delivery)
+    delivery.connection_opened(NEXT, REACHED_AT)
+    delivery.message_received(NEXT, REACHED_AT)
+    freed = [FAR_END_CALLS + 2, FAR_END_CALLS + 1]
+    opened_at_ns = [REACHED_AT]
+    for turn in range(200):  # circuits become free all the time, as under ordinary traffic
+        now_ns = REACHED_AT + turn * 50 * MS
+        delivery.record_group_state(group_state(freed[turn % 2]), now_ns)
+        opened_at_ns += open_when_due(delivery, now_ns, now_ns + 50 * MS)
+    gaps_ns = [later - earlier for earlier, later in pairwise(opened_at_ns)]
+    assert max(gaps_ns) <= REPEAT_INTERVAL_NS + 100 * MS
+    assert NOTICE_AT <= opened_at_ns[-1] <= NOTICE_AT + 100 * MS
+    assert delivery.suspected_count == 0 and set(delivery.calls) == {CALL, OTHER}
+
+
+def test_a_silent_connection_is_no_witness_while_the_network_may_be_cut() -> None:
+    """Guards against taking the silence of a connection that is cut off as well for a report of no change."""
+    delivery = delivery_with_calls()
+    close_in_a_cut(delivery)
+    assert delivery.remove_lost_calls(SETTLED_AT + MS) == [] and delivery.suspected_count == 2
+    assert delivery.remove_lost_calls(LOST_AT + RELEASE_TIMEOUT_NS) == [CALL, OTHER]
+
+
+def test_a_quiet_exchange_keeps_its_calls_and_gets_no_connections_without_need() -> None:
+    """Guards the promise beside the fault: where no circuit becomes free, nothing is lost."""
+    delivery = delivery_with_calls()
+    close_in_a_cut(delivery)
+    for now_ns in range(REACHED_AT, NOTICE_AT + 1000 * MS, 50 * MS):
+        delivery.message_received(WITNESS, now_ns)
+        assert not delivery.needs_connection(now_ns)
+    assert delivery.suspected_count == 0
+    assert delivery.remove_lost_calls(NOTICE_AT + 2 * RELEASE_TIMEOUT_NS) == []
+
+
+def test_a_call_whose_connection_ends_later_may_be_released_on_the_closed_one() -> None:
+    """Guards against a release that goes to the closed connection because its own was closed in order."""
+    delivery = delivery_with_calls()
+    delivery.add_call(WITNESS, "c3", circuits=1, now_ns=START + MS)
+    close_in_a_cut(delivery)
+    delivery.message_received(WITNESS, REACHED_AT)
+    delivery.connection_lost(WITNESS, REACHED_AT, REACHED_AT + MS, was_read_to_end=True)
+    assert delivery.suspected_count == 3
+
+
+def test_a_second_cut_puts_off_the_arrival_of_the_notice() -> None:
+    delivery = delivery_with_calls()
+    close_in_a_cut(delivery)
+    delivery.message_received(WITNESS, REACHED_AT)
+    delivery.exchange_unreachable(REACHED_AT + 1000 * MS)
+    again_at = REACHED_AT + 2000 * MS
+    delivery.message_received(WITNESS, again_at)
+    assert delivery.close_notices.are_outstanding(NOTICE_AT + MS)
+    notice_at = again_at + (again_at - LOST_AT) + RETRANSMISSION_MARGIN_NS
+    assert not delivery.close_notices.are_outstanding(notice_at)
+
+
+@pytest.mark.parametrize("is_young", [True, False])
+def test_a_successor_has_the_releases_of_its_predecessor_repeated_after_a_cut(is_young: bool) -> None:
+    """Guards against releases that are lost on the connections of a process that ended during a cut."""
+    delivery = ReleaseDelivery(True, started_at_ns=START if is_young else START - PREDECESSOR_NS)
+    delivery.connection_opened(WITNESS, START)
+    delivery.message_received(WITNESS, START + MS)
+    delivery.exchange_unreachable(LOST_AT)
+    delivery.message_received(WITNESS, REACHED_AT)
+    opened_at_ns = open_when_due(delivery, REACHED_AT, NOTICE_AT + 2000 * MS)
+    if is_young:
+        assert opened_at_ns[0] == REACHED_AT and NOTICE_AT <= opened_at_ns[-1] <= NOTICE_AT + 100 * MS
+    else:
+        assert opened_at_ns == []
+
+
+def test_closed_connections_of_an_exchange_that_never_answers_use_bounded_memory() -> None:
+    delivery = ReleaseDelivery(is_mesh=True)
+    for number in range(1000):
+        delivery.connection_opened(number, START + number * MS)
+        delivery.connection_lost(number, 0, START + number * MS, False, closed_with_output_since_ns=START)
+    assert len(delivery.close_notices.notices) <= 16
--- a/tests/test_vanished_exchange.py
+++ b/tests/test_vanished_exchange.py
@@ -9,7 +9,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, nullcontext
+from contextlib import contextmanager, nullcontext, suppress
 from pathlib import Path
 
 import pytest
@@ -94,12 +94,14 @@
     return caller
 
 
-def establish_calls_on_one_connection(program: Program) -> Peer:
+def establish_calls_on_one_connection(
+    program: Program, changes: dict[Parameter, bytes | str | None] | None = None
+) -> Peer:
     """Establishes two calls; the second one comes on the same connection, as the other one is busier."""
     caller = program.connect_caller()
     caller.socket.settimeout(RELEASE_LIMIT_S + 1.0)
-    program.establish_call(caller)
-    program.establish_call(caller, OTHER)
+    program.establish_call(caller, changes=changes)
+    program.establish_call(caller, OTHER, changes=changes)
     assert program.exchange.connection_of[CALL] is program.exchange.connection_of[OTHER]
     return caller
 
@@ -160,6 +162,30 @@
         expect_both_released(caller, since_s=ended_at_s)
 
 
+@pytest.mark.parametrize("routing", ["dest:1;width:1;via:-1", "dest:1;width:1;via:2;transit:1"])
+def test_releases_on_a_connection_whose_end_the_exchange_learns_late_are_not_lost(
+    program: Program, routing: str
+) -> None:
+    """Guards against calls that stand for ever, as their releases went out on a connection closed here."""
+    exchange = program.exchange
+    caller = establish_calls_on_one_connection(program, {Parameter.ROUTING: routing})
+    carrying = exchange.connection_of[CALL]
+    while not exchange.opened_connections.empty():
+        exchange.opened_connections.get()
+    exchange.unresponsive, exchange.notice_delay_s = carrying, 0.6
+    caller.set_up("00000000000000c3", patience_ms=500)  # no answer: the connection becomes unresponsive
+    exchange.opened_connections.get(timeout=RELEASE_LIMIT_S)  # the one in its place: nothing to repeat yet
+    ended_at_s = time.monotonic()
+    for call in (CALL, OTHER):
+        with suppress(OSError):  # as far as the exchange knows, the connection is open
+            exchange.release(call, ReleaseCause.NORMAL)
+    assert exchange.connection_of[CALL] is carrying
+    with states_of_other_calls(program, far_end_calls=18):
+        ends = [caller.receive() for _ in range(3)]  # one is the end of the set-up
+    assert {CALL, OTHER} < {message.call for message in ends if message is not None}
+    assert time.monotonic() - ended_at_s < RELEASE_LIMIT_S
+
+
 def test_calls_that_go_on_are_kept_though_two_connections_in_a_row_were_reset(program: Program) -> None:
     """Guards the promise beside the fault: no circuit became free, so none of the calls can have ended."""
     exchange = program.exchange
