Calls are sent again or refused only as their class permits after a possible run

Cause: classes[].repeat, dedupScope and memorySpanNs were read nowhere. Policy.on_attempt_ended sent every call again after any ending but a busy number, decide_call refused it with a cause that makes a redial harmless, and cancel_lost_attempts gave up attempts to send them again.

Evidence: the debug log shows one call offered, an attempt that ended as cut, and a second set-up by an action of the decision module; the network code repeats none by itself.

The decision module asks it for each route, for queueing, refusing and cancelling, and a queued set-up carries the moment after which it is not sent. An unknown value in the settings is named. Failures have a reason for logs and the counter `failures`.

--- a/arrowkeel/interface.py
+++ b/arrowkeel/interface.py
@@ -82,6 +82,31 @@
     LEAVING = "leaving"  # the controller is in standby or terminating
 
 
+class FailureReason(Enum):
+    """Why a call failed; for logs and metrics only, it changes nothing that is sent."""
+
+    UNSPECIFIED = "unsaid"
+    NUMBER_BUSY = "number busy"
+    PATIENCE_OVER = "patience over"  # the caller waits no longer
+    MAY_HAVE_RUN = "may have run"  # an attempt may have run, and the class permits no repetition
+
+
+class Repeat(Enum):
+    """Whether a call may be set up again after an attempt that may have run."""
+
+    READ_LIKE = "read_like"  # at any time
+    IDEMPOTENCY_KEY = "idempotency_key"  # where repeats are discarded; see DedupScope
+    NON_IDEMPOTENT = "non_idempotent"  # never
+
+
+class DedupScope(Enum):
+    """Which exchanges discard repeats of a call that one of them has run."""
+
+    ALL = "all"
+    ZONE = "zone"  # those in its zone
+    CELL = "cell"  # that exchange alone: no two have the same number
+
+
 @dataclass(frozen=True, slots=True)
 class CallClass:
     """A class of calls: how soon its calls are to be answered, and what they are worth."""
@@ -93,6 +118,10 @@
     late_worth: float = 0.0  # fraction of `worth` that a call answered late still has
     holding_time_ns: int = 10_000_000_000  # usual duration of an answered call; no decision uses it
     exchange_numbers: tuple[int, ...] = ()  # where the layout is no mesh: the pools that serve this class
+    repeat: Repeat = Repeat.READ_LIKE
+    # With IDEMPOTENCY_KEY: which exchanges discard repeats, and how long after the first set-up.
+    dedup_scope: DedupScope = DedupScope.CELL
+    memory_span_ns: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +163,8 @@
                 raise ValueError(f"classes: target_ns and deadline_ns of {call_class.name!r} must be above 0")
             if not call_class.worth >= 0 or not 0 <= call_class.late_worth <= 1:
                 raise ValueError(f"classes: worth or late_worth of {call_class.name!r} is out of range")
+            if call_class.memory_span_ns < 0:
+                raise ValueError(f"classes: memory_span_ns of {call_class.name!r} must not be negative")
         for name in ("controllers", "attempt_limit", "cold_window_ns"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be at least 1")
@@ -169,7 +200,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ListedExchange:
-    """One entry of the exchange list. The decisions use neither zone, machine type nor rating."""
+    """One entry of the exchange list. The decisions use neither machine type nor rating."""
 
     exchange: str
     number: int
@@ -298,6 +329,8 @@
     call: str
     exchange: str
     abandon_at_ns: int = 0  # when the attempt ends if it is unanswered; 0: when the caller's patience ends
+    # The latest moment to send it, as exchanges forget later what they have run; 0: when it is abandoned.
+    send_by_ns: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -314,9 +347,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Fail:
-    """Action: the final answer that the call has failed, as after a busy number."""
+    """Action: the final answer that the call has failed, as after a busy number.
+
+    `reason` is for logs and metrics: failures that differ in it alone compare equal.
+    """
 
     call: str
+    reason: FailureReason = field(default=FailureReason.UNSPECIFIED, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -180,14 +180,14 @@
     def execute(self, action: it.Action, now_ns: int) -> None:
         """Carries out one action of the policy; one for a call that is over is ignored."""
         match action:
-            case it.SetUp(call, exchange, abandon_at_ns):
-                self.start_attempt(call, exchange, abandon_at_ns, now_ns)
+            case it.SetUp():
+                self.start_attempt(action, now_ns)
             case it.Refuse(call, redial_after_ns, reason):
                 if record := self.calls.end(call):
                     self.refuse_call(record.connection, record.offer, redial_after_ns, reason)
-            case it.Fail(call):
+            case it.Fail(call, reason):
                 if record := self.calls.end(call):
-                    self.fail_call(call, record)
+                    self.fail_call(call, record, reason)
             case it.CancelAttempt(call, attempt):
                 record = self.calls.get(call)
                 if record is not None and record.attempts - 1 == attempt:
@@ -217,25 +217,33 @@
 
     # Calls
 
-    def start_attempt(self, call: str, exchange: str, abandon_at_ns: int, now_ns: int) -> None:
+    def start_attempt(self, action: it.SetUp, now_ns: int) -> None:
         """Sends the set-up of a call to an exchange, unless the call is over or has an attempt in progress.
 
         `abandon_at_ns` 0 means the call's deadline, which is the latest moment in any case.
         """
-        record, pool = self.calls.get(call), self.pools.get(exchange)
+        call = action.call
+        record, pool = self.calls.get(call), self.pools.get(action.exchange)
         if record is None or record.pool is not None:
             return
         record.attempts, record.sent_at_ns = record.attempts + 1, now_ns
-        record.abandon_at_ns = min(abandon_at_ns or record.deadline_at_ns, record.deadline_at_ns)
+        record.abandon_at_ns = min(action.abandon_at_ns or record.deadline_at_ns, record.deadline_at_ns)
         if pool is None:
-            self.queue_event(it.AttemptEnded(call, record.attempts - 1, exchange, it.Ending.NOT_SENT))
+            self.queue_event(it.AttemptEnded(call, record.attempts - 1, action.exchange, it.Ending.NOT_SENT))
             return
         record.pool = pool
         offer = record.offer
         if record.abandon_at_ns < record.deadline_at_ns:
             self.restart_timer(call, record)
         pool.set_up(
-            SetUpRequest(call, offer.class_name, offer.number_called, offer.description, record.abandon_at_ns)
+            SetUpRequest(
+                call,
+                offer.class_name,
+                offer.number_called,
+                offer.description,
+                record.abandon_at_ns,
+                action.send_by_ns or record.abandon_at_ns,
+            )
         )
 
     def restart_timer(self, call: str, record: CallRecord) -> None:
@@ -272,9 +280,18 @@
             was_sent = record.pool.cancel_set_up(call)
             self.attempt_ended(call, ending if was_sent else it.Ending.NOT_SENT)
 
-    def fail_call(self, call: str, record: CallRecord) -> None:
+    def fail_call(
+        self, call: str, record: CallRecord, reason: it.FailureReason = it.FailureReason.UNSPECIFIED
+    ) -> None:
         """Sends the final answer of a failed call, whose record is no longer in the table."""
-        log.debug("call failed", call=call, attempts=record.attempts, connection=record.connection.number)
+        log.debug(
+            "call failed",
+            call=call,
+            reason=reason.value,
+            attempts=record.attempts,
+            connection=record.connection.number,
+        )
+        self.metrics.failures[reason] += 1
         self.metrics.bad_gateway[record.offer.class_name] += 1
         record.connection.send_failure(call)
 
--- a/arrowkeel/net/exchange_connection.py
+++ b/arrowkeel/net/exchange_connection.py
@@ -52,6 +52,7 @@
     number_called: str
     description: bytes
     abandon_at_ns: int
+    send_by_ns: int  # it must not be sent later; at most `abandon_at_ns`
 
 
 class ExchangeEvents(Protocol):
--- a/arrowkeel/net/exchange_pool.py
+++ b/arrowkeel/net/exchange_pool.py
@@ -458,7 +458,7 @@
         """Sends a set-up on this connection, unless it is too late for it."""
         # A set-up that was queued here must not be sent after its caller has stopped waiting.
         now_ns = time.monotonic_ns()
-        if request.abandon_at_ns - now_ns < MS:
+        if request.abandon_at_ns - now_ns < MS or now_ns > request.send_by_ns:
             self.handler.attempt_ended(request.call, it.Ending.NOT_SENT)
             return
         # A release of an earlier attempt must not be sent again after this set-up: it would end this call.
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -61,6 +61,7 @@
         self.upstream_tries = 0  # set-ups sent to exchanges
         self.attempts_ended = Counter[it.Ending]()
         self.refusals = Counter[it.RefusalReason]()
+        self.failures = Counter[it.FailureReason]()
         self.standing_released = Counter[ReleaseReason]()
         self.suspicions_cleared = Counter[Clearance]()
         self.exchange_connections_lost = Counter[ConnectionLoss]()
@@ -85,6 +86,7 @@
         counts["upstream_tries"] = self.upstream_tries
         counts |= counters_by_label("attempts_ended", it.Ending, self.attempts_ended)
         counts |= counters_by_label("refusals", it.RefusalReason, self.refusals)
+        counts |= counters_by_label("failures", it.FailureReason, self.failures)
         counts |= counters_by_label("standing_released", ReleaseReason, self.standing_released)
         counts |= counters_by_label("suspicions_cleared", Clearance, self.suspicions_cleared)
         counts |= counters_by_label(
--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from arrowkeel import interface as it
+from arrowkeel import repeat_rule
 from arrowkeel.processor import (
     BASE_TOLERANCE,
     BLOCKING,
@@ -198,6 +199,7 @@
             )
             route = self.routes.setdefault(entry.exchange, new_route)
             route.number, route.is_serving = entry.number, entry.status is it.ExchangeStatus.SERVING
+            route.zone = entry.zone
             for processor in (
                 (route.processor, self.local_processor)
                 if route.number == self.settings.own_number
@@ -393,7 +395,7 @@
             now_ns,
             queueing_ends_at_ns,
             worth,
-            call_class.exchange_numbers,
+            call_class,
         )
         if not event.transit and self.gapped_numbers.is_blocked(event.number_called, now_ns):
             # Only the busy number is gapped; other calls to its exchange are not throttled.
@@ -408,8 +410,14 @@
             self.send_set_up(call, route, now_ns)
         elif self.is_worth_queueing(call, now_ns):
             self.queued_calls[call.id] = call
-        else:
+        elif repeat_rule.may_refuse(call.call_class, call.possible_run):
             self.refuse_call(call, self.refusal_reason(call, now_ns))
+        else:
+            self.close_call(call.id, it.Fail(call.id, it.FailureReason.MAY_HAVE_RUN))
+
+    def may_set_up(self, call: Call, route: ExchangeRoute, now_ns: int) -> bool:
+        """Whether the class of the call permits a set-up on that route after its earlier attempts."""
+        return repeat_rule.may_set_up(call.call_class, call.possible_run, route.zone, route.number, now_ns)
 
     def refusal_reason(self, call: Call, now_ns: int) -> it.RefusalReason:
         """Why a call can be neither sent nor queued; for logs and metrics."""
@@ -445,6 +453,10 @@
             self.routes_by_number.get(call.event.destination),
             min(call.queueing_ends_at_ns, call.patience_ends_at_ns),
         )
+        if send_by_ns := repeat_rule.send_by_ns(call.call_class, call.possible_run):
+            queue_until_ns = min(queue_until_ns, send_by_ns)
+        if not repeat_rule.may_repeat(call.call_class, call.possible_run, now_ns):
+            return False
         if call.event.transit or call.attempts >= self.settings.attempt_limit:
             return False
         if (
@@ -466,7 +478,8 @@
         ):
             return False
         has_tandems_left = len(call.tried_tandems) < MAX_TANDEMS_PER_CALL
-        return (direct_route.is_serving and direct_route.circuits_total > 0) or (
+        is_direct_possible = direct_route.is_serving and direct_route.circuits_total > 0
+        return (is_direct_possible and self.may_set_up(call, direct_route, now_ns)) or (
             has_tandems_left and (direct_route.is_serving or not self.settings.is_mesh)
         )
 
@@ -507,6 +520,7 @@
             now_ns < call.earliest_attempt_at_ns
             or call.attempts >= self.settings.attempt_limit
             or now_ns >= call.patience_ends_at_ns
+            or not repeat_rule.may_repeat(call.call_class, call.possible_run, now_ns)
         ):
             return None
         event, direct_route = call.event, self.routes_by_number.get(call.event.destination)
@@ -525,8 +539,11 @@
         direct_reservation = min(
             TRUNK_RESERVATION_SHARE * direct_route.circuits_total, MAX_DIRECT_RESERVATION
         ) * (1.0 - call.worth)
-        if is_usable and self.has_free_circuits(
-            direct_route, call, self.trunk_reservation(direct_route) if event.transit else direct_reservation
+        reservation = self.trunk_reservation(direct_route) if event.transit else direct_reservation
+        if (
+            is_usable
+            and self.may_set_up(call, direct_route, now_ns)
+            and self.has_free_circuits(direct_route, call, reservation)
         ):
             return direct_route
         may_use_tandem = (
@@ -549,7 +566,7 @@
         Candidates are the tandems with a weight, the advised one and a random sample of all; those that are
         not usable now are left out.
         """
-        tandem_numbers = self.remote_numbers if self.settings.is_mesh else call.exchange_numbers
+        tandem_numbers = self.remote_numbers if self.settings.is_mesh else call.call_class.exchange_numbers
         # Returned calls show that the mesh is full: the more there are, the less often untried tandems are
         # sampled.
         advised, is_mesh_full = (
@@ -572,10 +589,13 @@
                 or not route.circuits_free
                 or route.processor.state != NORMAL
                 or route is direct_route
+                or not self.may_set_up(call, route, now_ns)
             ):
                 continue
-            is_barred = (
-                number in call.tried_tandems or direct_route.tandem_barred_until_ns.get(number, 0) > now_ns
+            # A tandem is not tried twice, unless the call may go nowhere else after an attempt there.
+            is_bound = call.possible_run is not None and call.call_class.repeat is it.Repeat.IDEMPOTENCY_KEY
+            is_barred = (number in call.tried_tandems and not is_bound) or (
+                direct_route.tandem_barred_until_ns.get(number, 0) > now_ns
             )
             # A call by way of a tandem occupies circuits of two groups: the lower its worth, the more are
             # reserved.
@@ -628,7 +648,7 @@
     def send_set_up(self, call: Call, route: ExchangeRoute, now_ns: int) -> None:
         """Starts an attempt on that route and counts it at both processors."""
         self.queued_calls.pop(call.id, None)
-        call.current_route, call.attempts = route, call.attempts + 1
+        call.current_route, call.attempts, call.sent_at_ns = route, call.attempts + 1, now_ns
         if route.number != call.event.destination:
             call.tried_tandems.add(route.number)
         route.circuits_free = (
@@ -645,7 +665,9 @@
             # time is probed in any state.
             self.send_probe_if_due(route, self.probe_interval_ns, now_ns)
         self.local_processor.record_sent(now_ns)
-        self.actions.append(it.SetUp(call.id, route.exchange))  # abandoned when the caller's patience ends
+        send_by_ns = repeat_rule.send_by_ns(call.call_class, call.possible_run)
+        # It is abandoned when the caller's patience ends.
+        self.actions.append(it.SetUp(call.id, route.exchange, send_by_ns=send_by_ns))
 
     def refuse_call(self, call: Call, reason: it.RefusalReason) -> None:
         """Refuses the call, with the advice when to redial if that may be given.
@@ -720,15 +742,14 @@
         self.overtaken_calls.pop(call.id, None)
         route.processor.pending.remove(call.id)
         self.learn_from_ending(call, route, event, now_ns)
+        call.record_ending(route, event.ending)
         if event.call_over:
             self.close_call(call.id)
-        elif (
-            event.ending is it.Ending.COMPLETED
-            or event.cause is it.FailureCause.LINES_BUSY
-            or now_ns >= call.patience_ends_at_ns
-        ):
+        elif event.ending is it.Ending.COMPLETED or event.cause is it.FailureCause.LINES_BUSY:
             # NUMBER_BUSY with another cause is a signalling fault, after which the call is tried again.
-            self.close_call(call.id, it.Fail(call.id))
+            self.close_call(call.id, it.Fail(call.id, it.FailureReason.NUMBER_BUSY))
+        elif now_ns >= call.patience_ends_at_ns:
+            self.close_call(call.id, it.Fail(call.id, it.FailureReason.PATIENCE_OVER))
         else:
             if event.ending in (it.Ending.NO_ANSWER, it.Ending.INTERRUPTED, it.Ending.CANCELLED):
                 # After an attempt without a definite result its circuits may still be occupied until the
@@ -794,15 +815,19 @@
                 call.current_route.processor, now_ns - overtaken_at_ns, now_ns
             ):
                 del self.overtaken_calls[call_id]
+                retry_at_ns = now_ns + self.settings.release_guard_ns
                 can_retry = (
-                    now_ns
-                    + self.settings.release_guard_ns
-                    + int(max(0.0, call.current_route.processor.delay_ns))
+                    retry_at_ns + int(max(0.0, call.current_route.processor.delay_ns))
                     < call.patience_ends_at_ns
-                )
+                ) and self.may_set_up_after_cancel(call, call.current_route, retry_at_ns)
                 if can_retry and self.settings.may_cancel and call.attempts < self.settings.attempt_limit:
                     self.actions.append(it.CancelAttempt(call.id, call.attempts - 1))
 
+    def may_set_up_after_cancel(self, call: Call, route: ExchangeRoute, retry_at_ns: int) -> bool:
+        """Whether the call may be sent again on that route although its cancelled attempt may have run."""
+        run = call.possible_run or repeat_rule.PossibleRun(route.zone, route.number, call.sent_at_ns)
+        return repeat_rule.may_set_up(call.call_class, run, route.zone, route.number, retry_at_ns)
+
     def is_lost(self, processor: Processor, overtaken_for_ns: int, now_ns: int) -> bool:
         """Whether a set-up that was overtaken that long ago will get no response any more."""
         return (
--- a/arrowkeel/state.py
+++ b/arrowkeel/state.py
@@ -12,6 +12,7 @@
 from typing import Generic, TypeVar
 
 from arrowkeel import interface as it
+from arrowkeel.repeat_rule import NEVER_RAN, PossibleRun
 
 NS_PER_S = 1_000_000_000
 ProcessorT = TypeVar("ProcessorT")
@@ -152,6 +153,7 @@
     exchange: str
     number: int
     processor: ProcessorT
+    zone: str = ""
     is_serving: bool = False
     circuits_free: int | None = None
     circuits_total: int = 0
@@ -167,10 +169,10 @@
     `target_at_ns` is the latest moment at which an answered set-up still counts as on time, and
     `patience_ends_at_ns` the moment at which the caller gives up. No attempt starts before
     `earliest_attempt_at_ns`, and the call waits in the queue until `queueing_ends_at_ns` at the latest.
-    `worth` is relative to the worthiest class of call (0 to 1); `exchange_numbers` names the exchanges that
-    may serve its class where the exchanges form no mesh. `had_signalling_fault` is set once an attempt ended
-    in an error of the signalling. `current_route` is where the attempt in progress went, None if there is
-    none, and `tried_tandems` holds the numbers of the tandem exchanges that the call was sent to.
+    `worth` is relative to the worthiest class of call (0 to 1). `had_signalling_fault` is set once an attempt
+    ended in an error of the signalling. `current_route` is where the attempt in progress went, None if there
+    is none, and `tried_tandems` holds the numbers of the tandem exchanges that the call was sent to.
+    `possible_run` is the earliest attempt that ended without proof that it never ran, None if there is none.
     """
 
     event: it.CallOffered
@@ -179,8 +181,10 @@
     earliest_attempt_at_ns: int
     queueing_ends_at_ns: int
     worth: float
-    exchange_numbers: tuple[int, ...]
+    call_class: it.CallClass
     attempts: int = 0
+    sent_at_ns: int = 0  # start of the latest attempt
+    possible_run: PossibleRun | None = None
     had_signalling_fault: bool = False
     current_route: Route[ProcessorT] | None = None
     tried_tandems: set[int] = field(default_factory=set)
@@ -189,3 +193,8 @@
     def id(self) -> str:
         """The identifier that the interface gives the call."""
         return self.event.call
+
+    def record_ending(self, route: Route[ProcessorT], ending: it.Ending) -> None:
+        """Records the end of an attempt on that route, for the rule on repetitions."""
+        if ending not in NEVER_RAN and self.possible_run is None:
+            self.possible_run = PossibleRun(route.zone, route.number, self.sent_at_ns)
--- a/arrowkeel/wire.py
+++ b/arrowkeel/wire.py
@@ -55,6 +55,9 @@
     "answers": it.LoadReporting.IN_ANSWERS,
     "probe": it.LoadReporting.ON_PROBE,
 }
+# Values of `repeat` and `dedupScope` of a class in the settings.
+REPEATS = {repeat.value: repeat for repeat in it.Repeat}
+DEDUP_SCOPES = {scope.value: scope for scope in it.DedupScope}
 # Maps the name of a load figure on the wire to the field of LoadReport and the factor to that field's unit.
 REPORT_FIELDS = {
     "idle": ("free_circuits", 1.0),
@@ -262,6 +265,18 @@
         raise MalformedInputError(f"field options: {error}") from None
 
 
+def read_setting(
+    entry: Mapping[str, Any], name: str, choices: Mapping[str, Choice], default: Choice
+) -> Choice:
+    """What `choices` holds for a setting of a class; raises ValueError for a value that is not among them."""
+    value = entry.get(name)
+    if value is None:
+        return default
+    if value not in choices:
+        raise ValueError(f"classes[].{name}: {value!r} is unknown")
+    return choices[value]
+
+
 def _build_settings(raw: Mapping[str, Any]) -> it.Settings:
     family, permissions, rules = (raw.get(key) or {} for key in ("familyInfo", "permissions", "rules"))
     holding_times, pools = family.get("classHoldNs") or [], family.get("poolsByClass") or []
@@ -274,6 +289,9 @@
             late_worth=float(entry.get("lateWorth", 0.0)),
             holding_time_ns=int(holding_times[index]) if index < len(holding_times) else 10_000_000_000,
             exchange_numbers=tuple(int(pool) for pool in pools[index] or ()) if index < len(pools) else (),
+            repeat=read_setting(entry, "repeat", REPEATS, it.Repeat.READ_LIKE),
+            dedup_scope=read_setting(entry, "dedupScope", DEDUP_SCOPES, it.DedupScope.CELL),
+            memory_span_ns=int(entry.get("memorySpanNs", 0)),
         )
         for index, entry in enumerate(raw["classes"])
     )
@@ -309,7 +327,7 @@
         case it.Refuse(call, redial_after_ns):
             suffix = f" notBeforeForNs={redial_after_ns}" if redial_after_ns else ""
             return f"REFUSE msgId={call}{suffix}"
-        case it.Fail(call):
+        case it.Fail(call, _):
             return f"GIVE_UP msgId={call}"
         case it.CancelAttempt(call, attempt):
             return f"ABORT_ATTEMPT msgId={call} attempt={attempt}"
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -17,6 +17,7 @@
     "departure",
     "caller_release",
     "close_notice",
+    "repeat_rule",
     "release_delivery",
     "message_budget",
 )
@@ -28,6 +29,7 @@
     "arrowkeel.interface",
     "arrowkeel.liveness",
     "arrowkeel.processor",
+    "arrowkeel.repeat_rule",
     "arrowkeel.state",
     "collections",
     "collections.abc",
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -72,7 +72,7 @@
 
 
 def set_up_request(call: str, abandon_at_ns: int = 1 << 62) -> SetUpRequest:
-    return SetUpRequest(call, "voice", "77", b"x", abandon_at_ns)
+    return SetUpRequest(call, "voice", "77", b"x", abandon_at_ns, abandon_at_ns)
 
 
 def run_with_pool(address: str, scenario: Callable[[ExchangePool, RecordingHandler], Any]) -> None:
