Messages of thousands of fields are malformed, and crowds share the turns of the loop

Clients that write slowly or stop half way delayed nobody. Memory stayed level in all.

Cause: a message of 16 KiB may hold 5,440 parameters, each split in Python: over a millisecond a message, for 400 connections between two turns of a good caller. Excluded: memory (30 to 39 MB), and the mere number of connections and bytes (400 slow or half set-ups: 45 ms at most).

Change: more than 32 parameters, or 64 pairs in one, are malformed, and such a set-up is rejected by itself; connections that wait for their next turn share 256 messages an iteration; what callers have sent and is not handled is bounded in total by bytes.

--- a/arrowkeel/net/caller_connections.py
+++ b/arrowkeel/net/caller_connections.py
@@ -106,11 +106,23 @@
 
     def sweep(self, now_ns: int) -> None:
         """Closes connections that are overdue or are to be closed and idle; called periodically."""
+        self.limit_unhandled_bytes()
         for connection in list(self.connections):
             connection.sweep(now_ns)
             if self.drain_plan is not None and connection.is_open:
                 self.close_if_unused(connection, self.drain_plan, now_ns)
 
+    def limit_unhandled_bytes(self) -> None:
+        """Closes the connections with the most unhandled bytes while all together have more than they may."""
+        total = sum(each.unhandled_bytes for each in self.connections)
+        if total <= self.bounds.max_unhandled_bytes:
+            return
+        for connection in sorted(self.connections, key=lambda each: each.unhandled_bytes, reverse=True):
+            total -= connection.unhandled_bytes
+            connection.handle_protocol_error("too many unhandled bytes")
+            if total <= self.bounds.max_unhandled_bytes:
+                return
+
     def close_if_unused(self, connection: CallerConnection, drain_plan: DrainPlan, now_ns: int) -> None:
         """Closes a connection that may be closed, unless data has arrived that is not read yet.
 
--- a/arrowkeel/net/codec.py
+++ b/arrowkeel/net/codec.py
@@ -17,6 +17,9 @@
 MESSAGE_HEADER = struct.Struct(">HB8s")  # length, type, call identifier
 PARAMETER_HEADER = struct.Struct(">BH")  # code, length
 LENGTH_BYTES = 2  # size of a message's length field
+# No message of the protocol has half as many; one with thousands would cost as much time as hundreds.
+MAX_PARAMETERS = 32
+MAX_NAMED_VALUES = 64  # name:value pairs of one parameter
 NO_CALL_ID = "0" * 16  # sent in messages that concern no call; never the identifier of a call
 
 
@@ -100,7 +103,12 @@
     def named_values(self, parameter: Parameter) -> dict[str, str]:
         """Returns the name:value pairs of a parameter, as in `dest:2;width:1`; empty if it is absent."""
         pairs: dict[str, str] = {}
-        for part in filter(None, self.text(parameter, "").split(";")):
+        parts = self.text(parameter, "").split(";", MAX_NAMED_VALUES)
+        if len(parts) > MAX_NAMED_VALUES:
+            raise MalformedMessageError(
+                f"parameter {parameter.value}: more than {MAX_NAMED_VALUES} name:value pairs"
+            )
+        for part in filter(None, parts):
             name, colon, value = part.partition(":")
             if not colon or not name:
                 raise MalformedMessageError(
@@ -177,8 +185,11 @@
     """
     _, message_type, call = MESSAGE_HEADER.unpack_from(raw)
     parameters: dict[int, bytes] = {}
-    offset = MESSAGE_HEADER.size
+    offset, count = MESSAGE_HEADER.size, 0
     while offset < len(raw):
+        count += 1
+        if count > MAX_PARAMETERS:
+            return Message(message_type, call.hex(), {}, f"more than {MAX_PARAMETERS} parameters")
         if offset + PARAMETER_HEADER.size > len(raw):
             return Message(message_type, call.hex(), {}, "parameter header incomplete")
         code, length = PARAMETER_HEADER.unpack_from(raw, offset)
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -99,6 +99,7 @@
     max_calls: int  # open and standing calls together
     max_description_bytes: int  # of all open calls together, whose descriptions may still have to be sent
     max_table_entries: int  # of each table with small entries: ended calls, waiting releases, queued set-ups
+    max_unhandled_bytes: int  # received from all callers and not handled yet, as of incomplete messages
     max_unsent_bytes: int  # buffered for one peer that does not read; beyond it the connection is closed
     max_change_log_line_bytes: int  # buffered of a line that has not been received completely
 
@@ -121,6 +122,7 @@
             max_calls=min(permitted_calls, spare_bytes // 4096),
             max_description_bytes=spare_bytes // 4,
             max_table_entries=spare_bytes // 16384,
+            max_unhandled_bytes=spare_bytes // 4,
             # Half of the spare memory, divided among the callers' connections, but at least 32 KiB.
             max_unsent_bytes=max(32 << 10, spare_bytes // (2 * caller_connections)),
             max_change_log_line_bytes=spare_bytes // 8,
--- a/arrowkeel/net/connection.py
+++ b/arrowkeel/net/connection.py
@@ -2,7 +2,7 @@
 
 Connections take turns: each handles a limited number of messages in one iteration of the event loop, and
 reads no more while complete messages are left. So a peer that never stops sending delays the others by one
-turn of its own in each iteration.
+turn of its own in each iteration. The more connections wait for their next turn, the shorter it is.
 
 A peer that sends malformed messages or stops reading has its connection closed, with a limited number of log
 entries and limited memory.
@@ -28,6 +28,7 @@
 LOG_INTERVAL_NS = 5_000_000_000
 STALL_NS = 100_000_000  # a callback that keeps the event loop for longer is logged
 MESSAGES_PER_TURN = 16  # of one connection in one iteration of the event loop
+MESSAGES_PER_ITERATION = 256  # of all connections that have more than they may handle in one turn
 READ_SIZE_BYTES = 16 * 1024  # read from one connection at once
 # Filled and emptied within one event of one connection, hence shared by all of them.
 read_buffer = memoryview(bytearray(READ_SIZE_BYTES))
@@ -84,6 +85,21 @@
     sent_at_ns: int  # when it was written
 
 
+class WaitingTurns:
+    """The connections that wait for their next turn, in one process."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def messages_per_turn(self) -> int:
+        """How many messages a connection may handle in one iteration of the event loop."""
+        share = MESSAGES_PER_ITERATION // max(1, self.count)
+        return max(1, min(MESSAGES_PER_TURN, share))
+
+
+waiting_turns = WaitingTurns()
+
+
 class MessageConnection(asyncio.BufferedProtocol):
     """One connection that carries messages of many calls.
 
@@ -113,6 +129,11 @@
         """Whether the connection is established and not being closed."""
         return self.transport is not None and not self.transport.is_closing()
 
+    @property
+    def unhandled_bytes(self) -> int:
+        """How many received bytes are buffered, as of incomplete messages or for the next turn."""
+        return 0 if self.ignores_input else len(self.decoder.buffer)
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether received bytes wait to be read from the socket, or to be handled in the next turn."""
@@ -132,14 +153,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles one turn of the complete messages; the rest follows in the next iterations of the loop."""
-        self.handle_messages(data, MESSAGES_PER_TURN)
+        self.handle_messages(data, waiting_turns.messages_per_turn())
         if self.decoder.has_message and not self.ignores_input:
             self.is_turn_scheduled = True
+            waiting_turns.count += 1
             asyncio.get_running_loop().call_soon(self.take_turn)
         self.update_reading()
 
     def take_turn(self) -> None:
         """Handles the next messages of those that have been read."""
+        waiting_turns.count -= 1
         if self.is_turn_scheduled:
             self.is_turn_scheduled = False
             self.data_received(b"")
