Numbers called take memory bounded by bytes, in total and for each connection

Unsound set-ups, unknown classes, releases and short numbers from one client delayed nobody.

Cause: tables were bounded in number or age, and of the bytes only descriptions counted. FirstSeen and the table of busy numbers kept whole numbers, without a bound on their number; standing calls kept their number.

Evidence: growth with the length of the numbers also where all set-ups are refused; write buffers are bounded and the clients read.

Change: keys over 32 characters are kept as digests in bounded tables; numbers and descriptions of open calls count by bytes, in total and for each connection; standing calls keep neither; what is remembered for each connection follows from the memory limit. Tables that drop their first entry are ordered dictionaries. Only callers' connections share their turns: answers of exchanges were held up as well.

--- a/arrowkeel/caller_release.py
+++ b/arrowkeel/caller_release.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
 
@@ -42,13 +43,14 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
-        self.counts: dict[str, int] = {}  # by identifier; a client may repeat a declined set-up
+        # By identifier; a client may repeat a declined set-up.
+        self.counts: OrderedDict[str, int] = OrderedDict()
 
     def add(self, call: str) -> None:
         """Adds a declined set-up."""
         self.counts[call] = self.counts.pop(call, 0) + 1
         if len(self.counts) > self.limit:
-            del self.counts[next(iter(self.counts))]
+            self.counts.popitem(last=False)
 
     def take(self, call: str) -> bool:
         """Removes one declined set-up with this identifier; returns whether there was one."""
--- a/arrowkeel/drill.py
+++ b/arrowkeel/drill.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TextIO
 
 from arrowkeel import interface as it
@@ -21,7 +22,7 @@
 
     def __init__(self, limit: int = MAX_RECENT_NAMES) -> None:
         self.limit = limit
-        self.names: dict[str, None] = {}
+        self.names: OrderedDict[str, None] = OrderedDict()
 
     def __contains__(self, name: str) -> bool:
         return name in self.names
@@ -34,7 +35,7 @@
         self.names.pop(name, None)
         self.names[name] = None
         if len(self.names) > self.limit:
-            del self.names[next(iter(self.names))]
+            self.names.popitem(last=False)
 
 
 class HostedController:
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import sys
 import time
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from arrowkeel.caller_release import DeclinedSetUps, ReleaseVerdict
@@ -21,7 +23,8 @@
     encode,
     parse_integer,
 )
-from arrowkeel.net.connection import MessageConnection, SentRelease, log
+from arrowkeel.net.config import Bounds
+from arrowkeel.net.connection import MessageConnection, SentRelease, SharedTurns, log
 
 MS = 1_000_000  # nanoseconds in a millisecond
 MAX_PATIENCE_MS = 3_600_000  # no caller waits for an hour; a larger value is reduced to this
@@ -34,12 +37,7 @@
 FIRST_SET_UP_TIMEOUT_NS, INCOMPLETE_MESSAGE_TIMEOUT_NS, CLOSE_TIMEOUT_NS = 2000 * MS, 2700 * MS, 1000 * MS
 # Invalid set-ups on one connection; beyond it the connection is closed once no call is open on it.
 MAX_INVALID_SET_UPS = 16
-
-
-# Releases remembered for one connection, in case they cross the caller's end of the connection.
-MAX_SENT_RELEASES = 1024
-# Identifiers of declined set-ups remembered for one connection, in case their caller gives them up.
-MAX_DECLINED_SET_UPS = 1024
+caller_turns = SharedTurns()
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +56,15 @@
     was_interrupted: bool  # the call is set up again after an interruption
     description: bytes  # of the call, opaque; passed on unchanged
 
+    @property
+    def kept_bytes(self) -> int:
+        """The memory that the call takes as long as it may be sent, apart from a fixed part."""
+        return len(self.description) + sys.getsizeof(self.number_called)
+
+    def without_contents(self) -> Offer:
+        """Returns what is needed of an answered call."""
+        return replace(self, number_called="", description=b"")
+
 
 class CallerHandler(Protocol):
     """What the controller does for connections from callers, whatever protocol they speak.
@@ -124,19 +131,22 @@
 class CallerConnection(MessageConnection):
     """One connection from callers; the reply to a set-up goes out on the connection that brought it."""
 
-    def __init__(self, handler: CallerHandler, unsent_limit_bytes: int, max_calls: int) -> None:
-        super().__init__("caller", unsent_limit_bytes)
-        self.handler = handler
+    def __init__(self, handler: CallerHandler, bounds: Bounds) -> None:
+        super().__init__("caller", bounds.max_unsent_bytes, caller_turns)
+        self.handler, self.bounds = handler, bounds
+        self.open_call_bytes = 0  # of the calls in `open_calls`
         self.open_calls: set[str] = set()  # set up here, without their final answer yet
         self.standing_calls: set[str] = set()  # set up here, answered and not over
-        self.sent_releases: dict[str, SentRelease] = {}  # the latest releases of answered calls sent here
-        self.declined_set_ups = DeclinedSetUps(MAX_DECLINED_SET_UPS)  # rejected or refused on arrival
+        # The latest releases of answered calls sent here, in case they cross the caller's end of it.
+        self.sent_releases: OrderedDict[str, SentRelease] = OrderedDict()
+        # Set-ups that were rejected or refused on arrival, in case their caller gives them up.
+        self.declined_set_ups = DeclinedSetUps(bounds.max_ids_per_connection)
         # Set-ups that were accepted, or refused for no fault of their own; and those that were not valid.
         self.valid_set_ups = self.invalid_set_ups = 0
         # Connections that only test whether the controller accepts calls never carry one.
         self.has_carried_calls = False
         self.last_received_at_ns = self.connected_at_ns = time.monotonic_ns()
-        self.message_budget = MessageBudget.full(max_calls, self.connected_at_ns)
+        self.message_budget = MessageBudget.full(bounds.max_calls, self.connected_at_ns)
 
     def connection_made(self, transport: object) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
@@ -282,8 +292,8 @@
             return False
         self.sent_releases.pop(call, None)
         self.sent_releases[call] = SentRelease(cause, time.monotonic_ns())
-        if len(self.sent_releases) > MAX_SENT_RELEASES:
-            del self.sent_releases[next(iter(self.sent_releases))]
+        if len(self.sent_releases) > self.bounds.max_ids_per_connection:
+            self.sent_releases.popitem(last=False)
         return True
 
     def unread_releases(self, since_ns: int) -> dict[str, int]:
--- a/arrowkeel/net/calls.py
+++ b/arrowkeel/net/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from arrowkeel.drill import RecentNames
 from arrowkeel.net.callers import CallerConnection, Offer
@@ -38,7 +38,7 @@
         self.bounds = bounds
         self.records: dict[str, CallRecord] = {}  # by call identifier
         self.open_count = 0
-        self.description_bytes = 0  # size of the descriptions kept for open calls
+        self.open_call_bytes = 0  # size of the numbers and descriptions kept for open calls
         self.standing: dict[str, set[str]] = {}  # identifiers of standing calls by exchange
         # Calls that ended recently: a message that crosses the end of its call, or a repeated release, is not
         # taken for one that concerns a call from before the start of this process.
@@ -57,12 +57,12 @@
     def standing_count(self) -> int:
         return len(self.records) - self.open_count
 
-    @property
-    def is_full(self) -> bool:
-        """Whether a new call must be refused because of the number of calls or the size of descriptions."""
+    def is_full(self, connection: CallerConnection) -> bool:
+        """Whether a new call on this connection must be refused: too many calls or bytes of them."""
         return (
             len(self.records) >= self.bounds.max_calls
-            or self.description_bytes > self.bounds.max_description_bytes
+            or self.open_call_bytes > self.bounds.max_open_call_bytes
+            or connection.open_call_bytes > self.bounds.max_open_call_bytes_per_connection
         )
 
     def open_calls(self) -> list[str]:
@@ -78,15 +78,15 @@
         self.records[record.offer.call] = record
         record.connection.open_calls.add(record.offer.call)
         self.open_count += 1
-        self.description_bytes += len(record.offer.description)
+        self.count_open_bytes(record, record.offer.kept_bytes)
 
     def establish(self, record: CallRecord, pool: ExchangePool, now_ns: int) -> None:
-        """Turns an open call into one that stands at that exchange; its description is dropped."""
+        """Turns an open call into one that stands at that exchange; its contents are dropped."""
         call = record.offer.call
         self.remove_open(record)
         record.cancel_timer()
         record.established_at_ns = now_ns
-        record.offer = replace(record.offer, description=b"")
+        record.offer = record.offer.without_contents()
         record.connection.standing_calls.add(call)
         self.standing.setdefault(pool.exchange, set()).add(call)
 
@@ -94,7 +94,12 @@
         """Stops counting a call as open, as it is answered or over."""
         record.connection.open_calls.discard(record.offer.call)
         self.open_count -= 1
-        self.description_bytes -= len(record.offer.description)
+        self.count_open_bytes(record, -record.offer.kept_bytes)
+
+    def count_open_bytes(self, record: CallRecord, change: int) -> None:
+        """Changes the bytes of open calls, in total and on the call's connection."""
+        self.open_call_bytes += change
+        record.connection.open_call_bytes += change
 
     def end(self, call: str) -> CallRecord | None:
         """Removes a call, whatever its state; returns its record, if there was one."""
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -21,6 +21,9 @@
 CALLER_DESCRIPTOR_SHARE = 0.6
 # The same share where a process and its successor run at once within one set of limits.
 SHARED_CALLER_DESCRIPTOR_SHARE = 0.36
+NUMBER_ENTRY_BYTES = 384  # of a remembered number called: its text, its entry and the value
+ID_ENTRY_BYTES = 256  # of a remembered call identifier
+MAX_IDS_PER_CONNECTION = 1024
 PROGRAM_MEMORY_BYTES = 18 << 20  # used by the program itself, before it holds any call
 STATUS_BY_LIFECYCLE = {
     "up": it.ExchangeStatus.SERVING,
@@ -97,7 +100,10 @@
     max_operator_connections: int
     accept_backlog: int  # connections that the kernel has established and the program has not yet accepted
     max_calls: int  # open and standing calls together
-    max_description_bytes: int  # of all open calls together, whose descriptions may still have to be sent
+    max_open_call_bytes: int  # numbers and descriptions of all open calls, which may still have to be sent
+    max_open_call_bytes_per_connection: int  # the same of the calls set up on one caller's connection
+    max_numbers: int  # numbers called that the decision module remembers, in each of two tables
+    max_ids_per_connection: int  # identifiers remembered for one caller's connection, in each of two tables
     max_table_entries: int  # of each table with small entries: ended calls, waiting releases, queued set-ups
     max_unhandled_bytes: int  # received from all callers and not handled yet, as of incomplete messages
     max_unsent_bytes: int  # buffered for one peer that does not read; beyond it the connection is closed
@@ -120,9 +126,14 @@
             # Room for a burst of connections spares other callers that wait.
             accept_backlog=2 * descriptors,
             max_calls=min(permitted_calls, spare_bytes // 4096),
-            max_description_bytes=spare_bytes // 4,
+            max_open_call_bytes=spare_bytes // 4,
+            max_open_call_bytes_per_connection=spare_bytes // 16,
+            max_numbers=spare_bytes // (32 * NUMBER_ENTRY_BYTES),
+            max_ids_per_connection=min(
+                MAX_IDS_PER_CONNECTION, spare_bytes // (16 * ID_ENTRY_BYTES * caller_connections)
+            ),
             max_table_entries=spare_bytes // 16384,
-            max_unhandled_bytes=spare_bytes // 4,
+            max_unhandled_bytes=spare_bytes // 8,
             # Half of the spare memory, divided among the callers' connections, but at least 32 KiB.
             max_unsent_bytes=max(32 << 10, spare_bytes // (2 * caller_connections)),
             max_change_log_line_bytes=spare_bytes // 8,
--- a/arrowkeel/net/connection.py
+++ b/arrowkeel/net/connection.py
@@ -2,7 +2,8 @@
 
 Connections take turns: each handles a limited number of messages in one iteration of the event loop, and
 reads no more while complete messages are left. So a peer that never stops sending delays the others by one
-turn of its own in each iteration. The more connections wait for their next turn, the shorter it is.
+turn of its own in each iteration. Callers' turns are the shorter the more of them wait for the next one;
+those of exchanges are not, as what they send ends work that has begun.
 
 A peer that sends malformed messages or stops reading has its connection closed, with a limited number of log
 entries and limited memory.
@@ -28,7 +29,7 @@
 LOG_INTERVAL_NS = 5_000_000_000
 STALL_NS = 100_000_000  # a callback that keeps the event loop for longer is logged
 MESSAGES_PER_TURN = 16  # of one connection in one iteration of the event loop
-MESSAGES_PER_ITERATION = 256  # of all connections that have more than they may handle in one turn
+MESSAGES_PER_ITERATION = 256  # of all callers' connections that wait for their next turn
 READ_SIZE_BYTES = 16 * 1024  # read from one connection at once
 # Filled and emptied within one event of one connection, hence shared by all of them.
 read_buffer = memoryview(bytearray(READ_SIZE_BYTES))
@@ -85,30 +86,28 @@
     sent_at_ns: int  # when it was written
 
 
-class WaitingTurns:
-    """The connections that wait for their next turn, in one process."""
+class SharedTurns:
+    """The connections that share the messages of one iteration of the event loop."""
 
     def __init__(self) -> None:
-        self.count = 0
+        self.waiting = 0  # connections with messages left for their next turn
 
     def messages_per_turn(self) -> int:
-        """How many messages a connection may handle in one iteration of the event loop."""
-        share = MESSAGES_PER_ITERATION // max(1, self.count)
+        """How many messages a connection may handle in one iteration."""
+        share = MESSAGES_PER_ITERATION // max(1, self.waiting)
         return max(1, min(MESSAGES_PER_TURN, share))
 
 
-waiting_turns = WaitingTurns()
-
-
 class MessageConnection(asyncio.BufferedProtocol):
     """One connection that carries messages of many calls.
 
     Subclasses implement `handle_message`. `peer_name` names the peer in the log; a peer that leaves more than
-    `unsent_limit_bytes` unread is disconnected.
+    `unsent_limit_bytes` unread is disconnected. Without `turns` it shares its turns with no other connection.
     """
 
-    def __init__(self, peer_name: str, unsent_limit_bytes: int) -> None:
+    def __init__(self, peer_name: str, unsent_limit_bytes: int, turns: SharedTurns | None = None) -> None:
         self.peer_name = peer_name
+        self.turns = turns or SharedTurns()
         self.number = next(connection_numbers)  # identifies this connection in the log
         self.unsent_limit_bytes = unsent_limit_bytes
         self.decoder = Decoder()
@@ -153,16 +152,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles one turn of the complete messages; the rest follows in the next iterations of the loop."""
-        self.handle_messages(data, waiting_turns.messages_per_turn())
+        self.handle_messages(data, self.turns.messages_per_turn())
         if self.decoder.has_message and not self.ignores_input:
             self.is_turn_scheduled = True
-            waiting_turns.count += 1
+            self.turns.waiting += 1
             asyncio.get_running_loop().call_soon(self.take_turn)
         self.update_reading()
 
     def take_turn(self) -> None:
         """Handles the next messages of those that have been read."""
-        waiting_turns.count -= 1
+        self.turns.waiting -= 1
         if self.is_turn_scheduled:
             self.is_turn_scheduled = False
             self.data_received(b"")
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -340,7 +340,7 @@
             # The call with this identifier goes on, on its own connection.
             connection.reject_set_up(call)
             return False
-        reason = self.refusal_reason(offer)
+        reason = self.refusal_reason(connection, offer)
         if reason is not None:
             connection.declined_set_ups.add(call)
             self.refuse_call(connection, offer, self.config.settings.max_redial_after_ns, reason)
@@ -348,11 +348,11 @@
         self.accept_call(connection, offer)
         return True
 
-    def refusal_reason(self, offer: Offer) -> it.RefusalReason | None:
+    def refusal_reason(self, connection: CallerConnection, offer: Offer) -> it.RefusalReason | None:
         """Returns why a call is refused without asking the policy; None if it is accepted."""
         if offer.class_name not in self.class_names:
             return it.RefusalReason.UNKNOWN_CLASS  # the policy would treat it as its first class
-        if self.calls.is_full:
+        if self.calls.is_full(connection):
             return it.RefusalReason.TABLE_FULL
         # Set-ups are refused so that a connection that is to be closed becomes idle at last.
         return it.RefusalReason.LEAVING if self.callers.refuses_set_ups(time.monotonic_ns()) else None
--- a/arrowkeel/net/service.py
+++ b/arrowkeel/net/service.py
@@ -39,7 +39,7 @@
 
     def __init__(self, config: Config) -> None:
         self.config = config
-        self.controller = Controller(config, Policy(config.settings, config.seed))
+        self.controller = Controller(config, Policy(config.settings, config.seed, config.bounds.max_numbers))
         self.loop = asyncio.get_running_loop()
         self.state = ServiceState.STARTING
         self.operator_api = OperatorApi(self, config.bounds.max_operator_connections)
@@ -80,7 +80,7 @@
 
         def new_caller_connection() -> CallerConnection:
             bounds = config.bounds
-            return CallerConnection(self.controller, bounds.max_unsent_bytes, bounds.max_calls)
+            return CallerConnection(self.controller, bounds)
 
         # Whoever started this process keeps the inherited socket open, so that a successor gets it too.
         if config.accept_fd is not None:
--- a/arrowkeel/policy.py
+++ b/arrowkeel/policy.py
@@ -29,7 +29,7 @@
     WORTH_TOLERANCE,
     Processor,
 )
-from arrowkeel.state import NS_PER_S, CallState, ExponentialBackoff, FirstSeen, Route
+from arrowkeel.state import MAX_KEYS, NS_PER_S, CallState, ExponentialBackoff, FirstSeen, Route
 
 # Names of the overload states, in the order of their values.
 STATE_NAMES = ("normal", "overload", "blocking")
@@ -103,10 +103,11 @@
 class Policy:
     """Decisions of one controller. `handle` has no clock, input or output, and controllers share nothing.
 
-    Equal settings, seed and events give equal actions.
+    Equal settings, seed and events give equal actions. `max_numbers` bounds the numbers called that each of
+    its two tables of them holds.
     """
 
-    def __init__(self, settings: it.Settings, seed: int) -> None:
+    def __init__(self, settings: it.Settings, seed: int, max_numbers: int = MAX_KEYS) -> None:
         self.settings, self.random = settings, Random(seed)
         # The intervals suit calls that are to be established within seconds. With shorter targets the waits
         # are shorter as well, and intervals of full length would outlive the overload that they protect
@@ -132,8 +133,8 @@
         self.routes_by_number: dict[int, ExchangeRoute] = {}
         self.calls, self.queued_calls = dict[str, Call](), dict[str, Call]()
         self.overtaken_calls = dict[str, int]()  # when a later set-up overtook that of the call
-        self.gapped_numbers = ExponentialBackoff(BUSY_NUMBER_GAP_NS, MAX_BUSY_NUMBER_GAP_NS)
-        self.first_offers = FirstSeen(settings.longest_deadline_ns)
+        self.gapped_numbers = ExponentialBackoff(BUSY_NUMBER_GAP_NS, MAX_BUSY_NUMBER_GAP_NS, max_numbers)
+        self.first_offers = FirstSeen(settings.longest_deadline_ns, max_numbers)
         self.remote_numbers: list[int] = []
         self.crankback_share = 0.0  # share of recent tandem attempts that were returned, to any destination
         self.is_overload_widespread, self.sends_probes = (
--- a/arrowkeel/state.py
+++ b/arrowkeel/state.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from itertools import islice, takewhile
 from typing import Generic, TypeVar
 
@@ -15,6 +16,8 @@
 from arrowkeel.repeat_rule import NEVER_RAN, PossibleRun
 
 NS_PER_S = 1_000_000_000
+MAX_KEY_LENGTH = 32  # characters; longer keys are kept as a digest of this length
+MAX_KEYS = 20_000  # of one table of keys, unless its user sets another bound
 ProcessorT = TypeVar("ProcessorT")
 
 
@@ -105,40 +108,69 @@
         self.send_times_ns = dict.fromkeys(self.send_times_ns, now_ns)
 
 
+def compact_key(key: str) -> str:
+    """The key itself, or a digest of it if it is long: what is stored of a key has a bounded size."""
+    if len(key) <= MAX_KEY_LENGTH:
+        return key
+    return blake2b(key.encode(errors="surrogatepass"), digest_size=MAX_KEY_LENGTH // 2).hexdigest()
+
+
 class FirstSeen:
-    """Remembers when a key was first seen, for `span_ns` after that moment."""
+    """Remembers when a key was first seen, for `span_ns` after that moment.
 
-    def __init__(self, span_ns: int) -> None:
-        self.span_ns = span_ns
-        self.first_times_ns: dict[str, int] = {}
+    Beyond `max_keys` the key seen first is forgotten.
+    """
+
+    def __init__(self, span_ns: int, max_keys: int = MAX_KEYS) -> None:
+        self.span_ns, self.max_keys = span_ns, max_keys
+        self.first_times_ns: OrderedDict[str, int] = OrderedDict()
 
     def get_or_record(self, key: str, now_ns: int, seen_at_ns: int) -> int:
         """When the key was first seen; a key that is not remembered is recorded as seen at `seen_at_ns`."""
         while self.first_times_ns and now_ns - next(iter(self.first_times_ns.values())) > self.span_ns:
-            del self.first_times_ns[next(iter(self.first_times_ns))]
-        return self.first_times_ns.setdefault(key, seen_at_ns)
+            self.first_times_ns.popitem(last=False)
+        first_at_ns = self.first_times_ns.setdefault(compact_key(key), seen_at_ns)
+        if len(self.first_times_ns) > self.max_keys:
+            self.first_times_ns.popitem(last=False)
+        return first_at_ns
+
+
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """A time in which a key is blocked."""
+
+    ends_at_ns: int
+    unspread_ns: int  # its length before it was spread at random
 
 
 class ExponentialBackoff:
-    """Blocks keys for a gap that doubles with each block, from `initial_ns` up to `max_ns`."""
+    """Blocks keys for a gap that doubles with each block, from `initial_ns` up to `max_ns`.
+
+    Beyond `max_keys` the key blocked longest ago is forgotten.
+    """
 
-    def __init__(self, initial_ns: int, max_ns: int) -> None:
-        self.initial_ns, self.max_ns = initial_ns, max_ns
-        # By key: the end of the gap, and its length before it was spread at random.
-        self.gaps: dict[str, tuple[int, int]] = {}
+    def __init__(self, initial_ns: int, max_ns: int, max_keys: int = MAX_KEYS) -> None:
+        self.initial_ns, self.max_ns, self.max_keys = initial_ns, max_ns, max_keys
+        self.gaps: OrderedDict[str, Gap] = OrderedDict()  # by key, the one blocked longest ago first
 
     def is_blocked(self, key: str, now_ns: int) -> bool:
         """Whether the gap of that key has not ended yet."""
-        return key in self.gaps and self.gaps[key][0] > now_ns
+        gap = self.gaps.get(compact_key(key)) if self.gaps else None
+        return gap is not None and gap.ends_at_ns > now_ns
 
     def block(self, key: str, now_ns: int, spread: float) -> None:
         """Starts the next gap of that key; `spread` multiplies its length.
 
-        Also drops every other key whose gap ended `max_ns` ago or earlier.
+        Also drops the keys blocked longest ago whose gap ended `max_ns` ago or earlier.
         """
-        gap_ns = min(2 * self.gaps[key][1], self.max_ns) if key in self.gaps else self.initial_ns
-        self.gaps = {other: gap for other, gap in self.gaps.items() if gap[0] > now_ns - self.max_ns}
-        self.gaps[key] = (now_ns + int(gap_ns * spread), gap_ns)
+        stored_key = compact_key(key)
+        earlier = self.gaps.pop(stored_key, None)
+        gap_ns = self.initial_ns if earlier is None else min(2 * earlier.unspread_ns, self.max_ns)
+        self.gaps[stored_key] = Gap(now_ns + int(gap_ns * spread), gap_ns)
+        while len(self.gaps) > self.max_keys or (
+            next(iter(self.gaps.values())).ends_at_ns <= now_ns - self.max_ns
+        ):
+            self.gaps.popitem(last=False)
 
 
 @dataclass(slots=True)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -9,14 +9,18 @@
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from pathlib import Path
+from unittest.mock import Mock
 
 import pytest
 
+from arrowkeel.net.callers import CallerConnection, Offer
+from arrowkeel.net.calls import CallRecord, CallTable
 from arrowkeel.net.codec import MAX_NAMED_VALUES, MAX_PARAMETERS, MessageType, Parameter, ReleaseCause
-from tests.peers import GROUP_STATE, Peer, Program, running_program
+from tests.peers import GROUP_STATE, SETTINGS, Peer, Program, make_config, running_program
 from tests.standins.bad_crowd import Kind
 
 LIMITS = {"cores": 1.0, "memory_mb": 64, "sockets": 1024}
+MANY_CALLS = {**SETTINGS, "permissions": {**SETTINGS["permissions"], "maxOpen": 20_000}}
 ANSWER_LIMIT_S = 1.5  # the deployment's shortest wanted time
 CLOSE_LIMIT_S = 3.0  # the pages: a bad client is owed a refusal, an error or a close within 3 s of connecting
 CROWD_S = 4.0
@@ -31,7 +35,7 @@
     assert GROUP_STATE.keys() == ROOM.keys()
     program.exchange.state = ROOM
     threading.Thread(target=answer_all, args=(program,), daemon=True).start()
-    with running_program(tmp_path, program, limits=LIMITS):
+    with running_program(tmp_path, program, limits=LIMITS, settings=MANY_CALLS):
         yield program
 
 
@@ -95,6 +99,39 @@
     assert play(program, kind, clients=300) < CLOSE_LIMIT_S
 
 
+@pytest.mark.parametrize(
+    "kind", [Kind.NUMBERS, Kind.SMALL_NUMBERS, Kind.ANSWERED, Kind.UNSOUND, Kind.RELEASES]
+)
+def test_one_client_with_ever_new_names_at_full_speed_delays_no_caller_and_fills_no_memory(
+    program: Program, kind: Kind
+) -> None:
+    """Guards against memory that grows with the numbers called (review case 8; issue 25, b)."""
+    play(program, kind, clients=1)
+
+
+def test_open_calls_are_bounded_by_their_bytes_in_total_and_for_each_connection() -> None:
+    """Guards against memory that grows with the numbers of open calls, and one client taking all of it."""
+    bounds = make_config(limits=LIMITS, settings=MANY_CALLS).bounds
+    calls = CallTable(bounds)
+    connections = [CallerConnection(Mock(), bounds) for _ in range(40)]
+    for index, connection in enumerate(connections):
+        while not calls.is_full(connection):
+            call = f"{index}-{len(connection.open_calls)}"
+            offer = Offer(call, "voice", "9" * 15_000, 1, 1, -1, 3000, False, False, False, b"offer")
+            calls.add(CallRecord(connection, offer, deadline_at_ns=0))
+        if index == 0:
+            assert not calls.is_full(connections[1])
+    slack_bytes = 16 * 1024
+    assert calls.open_call_bytes <= bounds.max_open_call_bytes + slack_bytes
+    assert all(
+        each.open_call_bytes <= bounds.max_open_call_bytes_per_connection + slack_bytes
+        for each in connections
+    )
+    for call in list(calls.records):
+        calls.end(call)
+    assert calls.open_call_bytes == 0 and not any(each.open_call_bytes for each in connections)
+
+
 def test_a_set_up_with_too_many_fields_is_rejected_by_itself(program: Program) -> None:
     caller = program.connect_caller()
     routing = "dest:1" + ";a:1" * MAX_NAMED_VALUES
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -35,6 +35,7 @@
     "collections.abc",
     "dataclasses",
     "enum",
+    "hashlib.blake2b",
     "itertools",
     "random.Random",
     "typing",
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -10,6 +10,7 @@
 
 from arrowkeel import Policy
 from arrowkeel import interface as it
+from arrowkeel.state import ExponentialBackoff, FirstSeen
 from tests.conftest import (
     NS_PER_MS,
     NS_PER_S,
@@ -174,6 +175,19 @@
     assert len(policy.gapped_numbers.gaps) < 30 and len(policy.first_offers.first_times_ns) < 30
 
 
+def test_numbers_called_take_bounded_memory_whatever_their_length_and_number() -> None:
+    """Guards against memory that grows with the numbers called (review case 8; issue 25, b)."""
+    seen = FirstSeen(NS_PER_S, max_keys=100)
+    backoff = ExponentialBackoff(NS_PER_S, 8 * NS_PER_S, max_keys=100)
+    for number in range(1000):
+        seen.get_or_record(f"{number}" + "x" * 15_000, 0, number)
+        backoff.block(f"{number}" + "x" * 15_000, 0, spread=1.0)
+    for table in (seen.first_times_ns, backoff.gaps):
+        assert len(table) == 100 and max(map(len, table)) <= 32
+    assert seen.get_or_record("999" + "x" * 15_000, 0, 5) == 999
+    assert backoff.is_blocked("999" + "x" * 15_000, 1) and not backoff.is_blocked("0" + "x" * 15_000, 1)
+
+
 def test_the_more_calls_tandems_return_the_fewer_untried_ones_are_used() -> None:
     """Returned calls cost work at two exchanges (incident i133231: over half of the tandem attempts)."""
     sent_counts = []
