Set-ups of callers that have left are skipped, and identifiers do not run twice

An identifier that came again after its client had left was set up again whatever its class allows.

Cause: the end of a connection was noticed only by reading up to it, and what was left then was handled all at once. No memory was kept of identifiers that had been sent on.

Evidence: with the process stopped until the end had arrived, set-ups were sent on all the same; a profile of a crowd's end shows 15,500 calls accepted and withdrawn at once.

Change: a caller's connection asks the system before each turn whether the peer has closed it. Then its open calls are given up at once, and its set-ups are skipped unsplit while its releases count. A call whose identifier was sent to an exchange before fails where its class is not read_like.

--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -71,9 +71,11 @@
 
     - `accepts_calls` is the result of a test that a caller asks for.
     - `first_call_carried` follows the first valid set-up or release on a connection.
+    - `caller_left` gives up the open calls of a caller that has closed its connection.
     - `call_offered` returns False if the set-up turns out not to be valid.
     - `release_received` ends a call before or after its answer, as the caller on that connection asks, and
       returns what was done with the release.
+    - `set_up_skipped` follows a set-up that is not accepted, as its caller has closed the connection.
     - `abort_call` ends an open call with a final answer, because its caller cannot go on with it.
     """
 
@@ -81,9 +83,11 @@
     def accepts_calls(self) -> bool: ...
     def caller_connected(self, connection: CallerConnection) -> None: ...
     def first_call_carried(self, connection: CallerConnection) -> None: ...
+    def caller_left(self, connection: CallerConnection) -> None: ...
     def caller_disconnected(self, connection: CallerConnection) -> None: ...
     def call_offered(self, connection: CallerConnection, offer: Offer) -> bool: ...
     def release_received(self, connection: CallerConnection, call: str, cause: int) -> ReleaseVerdict: ...
+    def set_up_skipped(self) -> None: ...
     def abort_call(self, connection: CallerConnection, call: str) -> None: ...
 
 
@@ -153,6 +157,7 @@
         self.handler.caller_connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.decoder.skips_set_ups = True
         super().connection_lost(exc)
         self.handler.caller_disconnected(self)
 
@@ -160,10 +165,26 @@
         if data:
             self.last_received_at_ns = time.monotonic_ns()
             self.message_budget.refill(self.last_received_at_ns)
+        if not self.decoder.skips_set_ups and self.has_peer_closed:
+            self.handle_caller_left()
         super().data_received(data)
 
+    def handle_caller_left(self) -> None:
+        """Gives up the caller's open calls and its further set-ups, for whose answers it does not wait.
+
+        Its releases still count, so the connection is read to its end.
+        """
+        self.decoder.skips_set_ups = True
+        self.handler.caller_left(self)
+
+    def messages_per_turn(self) -> int | None:
+        return None if self.decoder.skips_set_ups else super().messages_per_turn()
+
     def handle_message(self, message: Message) -> None:
         match message.type:
+            case MessageType.SET_UP if self.decoder.skips_set_ups:
+                self.handler.set_up_skipped()
+                self.declined_set_ups.add(message.call)
             case MessageType.SET_UP:
                 self.handle_set_up(message)
             case _ if message.parameter_error:
--- a/arrowkeel/net/calls.py
+++ b/arrowkeel/net/calls.py
@@ -43,6 +43,7 @@
         # Calls that ended recently: a message that crosses the end of its call, or a repeated release, is not
         # taken for one that concerns a call from before the start of this process.
         self.ended = RecentNames(bounds.max_table_entries)
+        self.sent = RecentNames(bounds.max_table_entries)  # of these, the calls that were sent to an exchange
 
     def __len__(self) -> int:
         return len(self.records)
@@ -107,6 +108,8 @@
         if record is None:
             return None
         self.ended.add(call)
+        if record.attempts:
+            self.sent.add(call)
         record.cancel_timer()
         if not record.established_at_ns:
             self.remove_open(record)
--- a/arrowkeel/net/codec.py
+++ b/arrowkeel/net/codec.py
@@ -145,6 +145,7 @@
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.skips_set_ups = False  # their parameters are not split: they are only named
         self.completed_count = 0  # messages completed by the latest call of `feed`
 
     @property
@@ -171,12 +172,20 @@
                     raise MalformedMessageError(f"message of {end - start} bytes")
                 if len(self.buffer) < end:
                     break
-                message = parse_message(bytes(self.buffer[start:end]))
+                message = self.parse(bytes(self.buffer[start:end]))
                 start, self.completed_count = end, self.completed_count + 1
                 yield message
         finally:
             del self.buffer[:start]
 
+    def parse(self, raw: bytes) -> Message:
+        """Returns the message of these bytes, without the parameters of a set-up that is skipped."""
+        if self.skips_set_ups:
+            _, message_type, call = MESSAGE_HEADER.unpack_from(raw)
+            if message_type == MessageType.SET_UP:
+                return Message(message_type, call.hex())
+        return parse_message(raw)
+
 
 def parse_message(raw: bytes) -> Message:
     """Returns the message of these bytes, with `parameter_error` set where its parameters are malformed.
--- a/arrowkeel/net/connection.py
+++ b/arrowkeel/net/connection.py
@@ -14,6 +14,7 @@
 import asyncio
 import fcntl
 import itertools
+import select
 import struct
 import termios
 import time
@@ -142,6 +143,16 @@
         count: int = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, b"\0" * 4))[0]
         return count > 0 or self.is_turn_scheduled
 
+    @property
+    def has_peer_closed(self) -> bool:
+        """Whether the peer has closed the connection, also while bytes that it sent before are unread."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        poller = select.poll()
+        poller.register(sock.fileno(), select.POLLRDHUP)
+        return any(events & select.POLLRDHUP for _, events in poller.poll(0))
+
     def get_buffer(self, sizehint: int) -> memoryview:
         """Returns where the event loop writes what it reads."""
         return read_buffer
@@ -152,13 +163,17 @@
 
     def data_received(self, data: bytes) -> None:
         """Handles one turn of the complete messages; the rest follows in the next iterations of the loop."""
-        self.handle_messages(data, self.turns.messages_per_turn())
+        self.handle_messages(data, self.messages_per_turn())
         if self.decoder.has_message and not self.ignores_input:
             self.is_turn_scheduled = True
             self.turns.waiting += 1
             asyncio.get_running_loop().call_soon(self.take_turn)
         self.update_reading()
 
+    def messages_per_turn(self) -> int | None:
+        """How many messages may be handled in one iteration of the event loop; None for all that are read."""
+        return self.turns.messages_per_turn()
+
     def take_turn(self) -> None:
         """Handles the next messages of those that have been read."""
         self.turns.waiting -= 1
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -319,9 +319,16 @@
         self.end_call_for_caller(call, ReleaseCause.NORMAL)
         self.fail_call(call, record)
 
+    def set_up_skipped(self) -> None:
+        self.metrics.set_ups_skipped += 1
+
     def caller_disconnected(self, connection: CallerConnection) -> None:
         """Ends the open calls of a lost connection; its answered calls go on."""
         self.callers.remove(connection)
+        self.caller_left(connection)
+
+    def caller_left(self, connection: CallerConnection) -> None:
+        """Ends the open calls of a caller that waits for no answer."""
         for call in sorted(connection.open_calls):
             self.end_call_for_caller(call, ReleaseCause.NORMAL)
 
@@ -340,6 +347,13 @@
             # The call with this identifier goes on, on its own connection.
             connection.reject_set_up(call)
             return False
+        if self.may_run_twice(offer):
+            connection.declined_set_ups.add(call)
+            log.warning("set-up of a call that may have run failed", call=call, connection=connection.number)
+            self.metrics.failures[it.FailureReason.MAY_HAVE_RUN] += 1
+            self.metrics.bad_gateway[offer.class_name] += 1
+            connection.send_failure(call)
+            return False
         reason = self.refusal_reason(connection, offer)
         if reason is not None:
             connection.declined_set_ups.add(call)
@@ -348,6 +362,15 @@
         self.accept_call(connection, offer)
         return True
 
+    def may_run_twice(self, offer: Offer) -> bool:
+        """Whether a call with this identifier was sent on before, and its class forbids a repetition.
+
+        Each set-up has an identifier of its own, but a client may send one again after it has left.
+        """
+        if offer.call not in self.calls.sent or offer.class_name not in self.class_names:
+            return False
+        return self.config.settings.find_class(offer.class_name).repeat is not it.Repeat.READ_LIKE
+
     def refusal_reason(self, connection: CallerConnection, offer: Offer) -> it.RefusalReason | None:
         """Returns why a call is refused without asking the policy; None if it is accepted."""
         if offer.class_name not in self.class_names:
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -59,6 +59,7 @@
         # Calls by class: answered, refused, and failed.
         self.passed, self.dropped, self.bad_gateway = Counter[str](), Counter[str](), Counter[str]()
         self.upstream_tries = 0  # set-ups sent to exchanges
+        self.set_ups_skipped = 0  # their caller had closed the connection before they were handled
         self.attempts_ended = Counter[it.Ending]()
         self.refusals = Counter[it.RefusalReason]()
         self.failures = Counter[it.FailureReason]()
@@ -84,6 +85,7 @@
             for class_name in self.classes
         }
         counts["upstream_tries"] = self.upstream_tries
+        counts["set_ups_skipped"] = self.set_ups_skipped
         counts |= counters_by_label("attempts_ended", it.Ending, self.attempts_ended)
         counts |= counters_by_label("refusals", it.RefusalReason, self.refusals)
         counts |= counters_by_label("failures", it.FailureReason, self.failures)
