The caller of the change log test stays connected, so that its set-up counts

test_the_change_log_is_followed_in_order_and_resumed_after_a_malformed_line kept no reference to its caller, whose connection was closed as soon as the set-up was written. The caller is kept now; what the test asserts is unchanged.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -328,7 +328,8 @@
     program.wait_for_log("malformed change log line")
     reconnected = program.changelog_listener.accept()
     assert reconnected.recv(100) == b"since 2\n"
-    program.connect_caller().set_up(destination=2)
+    caller = program.connect_caller()  # it stays: the set-up of a caller that has left is not sent on
+    caller.set_up(destination=2)
     other_exchange.expect(MessageType.SET_UP)
 
 
