Group states that a second connection brings late are not taken for new ones

Seen: test_a_group_state_received_on_each_connection_is_reported_once, listed as red, failed about every second time: 40, 7, 40, 7 were reported where the exchange had sent 40, 7 on two connections.

Cause, traced before: a state was new if it differed from the one reported last, so a connection that lags behind undid what the other had brought, and with it the circuits counted for set-ups since.

Change: group_state_order.py keeps the latest states and how far each connection has come in their order, which is the same on each. A state that stands there already is not new.

--- a/arrowkeel/net/exchange_pool.py
+++ b/arrowkeel/net/exchange_pool.py
@@ -15,6 +15,7 @@
 import structlog
 
 from arrowkeel import interface as it
+from arrowkeel.group_state_order import GroupStateOrder
 from arrowkeel.liveness import ExchangeLiveness, GroupState
 from arrowkeel.net.codec import ReleaseCause
 from arrowkeel.net.config import MS, Address, Config
@@ -118,7 +119,7 @@
         self.rate_limited_log = RateLimitedLog()
         self.liveness = ExchangeLiveness(config.settings.is_mesh)
         self.release_delivery = ReleaseDelivery(config.settings.is_mesh, time.monotonic_ns())
-        self.last_reported_state: bytes | None = None  # the group state last passed to the controller
+        self.group_state_order = GroupStateOrder()
         self.queued_set_ups: dict[str, SetUpRequest] = {}  # by call id; for the next connection
         self.waiting_releases: dict[str, int] = {}  # call id -> cause; for the next connection
 
@@ -238,6 +239,7 @@
     def connection_opened(self, connection: ExchangeConnection) -> None:
         """Starts a lease for the process behind a new connection."""
         now_ns = time.monotonic_ns()
+        self.group_state_order.connection_opened(connection.number)
         self.liveness.add_connection(connection.number, now_ns)
         self.release_delivery.connection_opened(connection.number, now_ns)
 
@@ -247,6 +249,7 @@
         The set-ups may have reached the exchange. The connection is replaced.
         """
         now_ns = time.monotonic_ns()
+        self.group_state_order.connection_lost(connection.number)
         # Malformed data shows as well as an end that the process was alive a moment ago.
         was_just_alive = loss.is_by_peer or loss is ConnectionLoss.MALFORMED
         self.liveness.remove_connection(connection.number, now_ns, was_just_alive)
@@ -348,8 +351,7 @@
                 other.state_missing_since_ns = 0
             elif other is not connection:
                 other.state_missing_since_ns = other.state_missing_since_ns or connection.last_received_at_ns
-        if connection.raw_group_state != self.last_reported_state:
-            self.last_reported_state = connection.raw_group_state
+        if self.group_state_order.record(connection.number, connection.raw_group_state):
             self.handler.group_state_reported(self.exchange, report)
 
     # Periodic checks
--- a/tests/test_module_limits.py
+++ b/tests/test_module_limits.py
@@ -17,6 +17,7 @@
     "departure",
     "caller_release",
     "close_notice",
+    "group_state_order",
     "repeat_rule",
     "release_delivery",
     "message_budget",
