Log the releases that may be unread on a caller's connection that was lost

The log could not tell whether they were never written, written elsewhere, kept back, ignored as repetitions, or written and forgotten.

A connection that is lost with releases after which nothing was received is logged: which calls, how it ended, how many are repeated, how old they are, how long it was silent. With ARROWKEEL_LOG=debug each release is logged with the connection that it was written to, or that it waits.

--- a/arrowkeel/net/caller_connections.py
+++ b/arrowkeel/net/caller_connections.py
@@ -9,16 +9,20 @@
 import asyncio
 import time
 
+import structlog
+
 from arrowkeel.departure import ConnectionUse, DrainPlan
 from arrowkeel.net.callers import CallerConnection
 from arrowkeel.net.config import MS, Bounds
-from arrowkeel.net.connection import log
+from arrowkeel.net.connection import log as bad_input_log
 
 # Added to the last-received time of a connection with an incomplete message when one is to be closed to make
 # room: it is worth more than one that has sent nothing.
 INCOMPLETE_MESSAGE_CREDIT_NS = 500 * MS
 # A release written less than this before the caller ended its connection may not have been read there.
 UNREAD_RELEASE_NS = 100 * MS
+MAX_LOGGED_CALLS = 8  # call identifiers in one log entry
+log = structlog.get_logger()
 
 
 class CallerConnections:
@@ -33,7 +37,7 @@
     def add(self, connection: CallerConnection) -> None:
         """Adds a new connection; at the limit an idle one is closed for it, or else the new one itself."""
         if len(self.connections) >= self.bounds.max_caller_connections and not self.close_idle_connection():
-            log.warning(
+            bad_input_log.warning(
                 "caller connection limit reached and none is idle, new connection closed",
                 open=len(self.connections),
             )
@@ -50,9 +54,33 @@
     def remove(self, connection: CallerConnection) -> None:
         """Removes a lost connection; releases that crossed its end are sent again on another one."""
         self.connections.pop(connection, None)
-        for call, cause in connection.unread_releases(time.monotonic_ns() - UNREAD_RELEASE_NS).items():
+        now_ns = time.monotonic_ns()
+        repeated = connection.unread_releases(now_ns - UNREAD_RELEASE_NS)
+        self.log_unproven_releases(connection, repeated, now_ns)
+        for call, cause in repeated.items():
             self.release(call, cause, None)
 
+    @staticmethod
+    def log_unproven_releases(connection: CallerConnection, repeated: dict[str, int], now_ns: int) -> None:
+        """Logs the releases that nothing received after them shows to have been read on a lost connection."""
+        unproven = {
+            call: (now_ns - release.sent_at_ns) // MS
+            for call, release in connection.sent_releases.items()
+            if release.sent_at_ns >= connection.last_received_at_ns
+        }
+        if unproven:
+            log.info(
+                "caller connection lost with releases that may be unread",
+                connection=connection.number,
+                was_closed_here=connection.closing_since_ns > 0,
+                was_closed_by_caller=connection.was_read_to_end,
+                silent_ms=(now_ns - connection.last_received_at_ns) // MS,
+                unread=len(unproven),
+                repeated=len(unproven.keys() & repeated.keys()),
+                oldest_ms=max(unproven.values()),
+                first_calls=sorted(unproven)[:MAX_LOGGED_CALLS],
+            )
+
     def close_idle_connection(self) -> bool:
         """Closes the least useful idle connection, to make room for a new one; returns whether there was one.
 
@@ -65,7 +93,9 @@
         connection = next((each for each in idle if not each.has_unread_bytes), None)
         if connection is None:
             return False
-        log.warning("caller connection limit reached, idle connection closed", open=len(self.connections))
+        bad_input_log.warning(
+            "caller connection limit reached, idle connection closed", open=len(self.connections)
+        )
         connection.close()
         return True
 
@@ -141,11 +171,14 @@
         tests whether the controller accepts calls: it passes releases to nobody.
         """
         if connection is not None and connection.is_open and connection.send_standing_release(call, cause):
+            log.debug("release written to caller", call=call, connection=connection.number, is_own=True)
             return
         others = [each for each in self.connections if each.is_open and each.has_carried_calls]
         for other in sorted(others, key=lambda each: each.last_received_at_ns, reverse=True):
             if other.send_standing_release(call, cause):
+                log.debug("release written to caller", call=call, connection=other.number, is_own=False)
                 return
+        log.debug("release waits for a caller's connection", call=call)
         if len(self.waiting_releases) < self.bounds.max_table_entries:
             self.waiting_releases[call] = cause
 
