Releases written to a caller's connection are repeated until they may count as read

What callers saw: calls that ended while a caller's connection was quiet stood there for ever.

Cause: CallerConnections.remove repeated only what was written within UNREAD_RELEASE_NS of the end, nothing on a connection closed here, and nothing while a quiet connection stayed open.

Change: pending_releases.py, without input, output or clock, keeps each release until its caller is proved to have read it (receipt, or its own release) or the limit of 8 s from the call's end has passed. A reset repeats all of a connection, an end in order by either side what no later data suggests to be read, and silence the same 4.3, 6 and 7.7 s after the call's end; always on a connection that has not carried it yet, or on the next one. A caller's close of a connection that has been idle for 4 s counts as read. Nothing is repeated while the call's answer may still be unread and awaited, as it would be taken for the answer. Kept within limits of bytes, in total and per connection; the one written first goes first.

Two tests of standby expected that nothing follows a release that was written: one of them took a time-out of its own for a close. They now tell apart what was read (data or a release came later) from what may be unread, and see the close.

--- a/arrowkeel/net/caller_connections.py
+++ b/arrowkeel/net/caller_connections.py
@@ -8,19 +8,20 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 import structlog
 
 from arrowkeel.departure import ConnectionUse, DrainPlan
 from arrowkeel.net.callers import CallerConnection
 from arrowkeel.net.config import MS, Bounds
-from arrowkeel.net.connection import log as bad_input_log
+from arrowkeel.net.connection import log as limited_log
+from arrowkeel.net.metrics import Metrics
+from arrowkeel.pending_releases import ConnectionEnd, PendingRelease, PendingReleases, SettledReason
 
 # Added to the last-received time of a connection with an incomplete message when one is to be closed to make
 # room: it is worth more than one that has sent nothing.
 INCOMPLETE_MESSAGE_CREDIT_NS = 500 * MS
-# A release written less than this before the caller ended its connection may not have been read there.
-UNREAD_RELEASE_NS = 100 * MS
 MAX_LOGGED_CALLS = 8  # call identifiers in one log entry
 log = structlog.get_logger()
 
@@ -28,16 +29,25 @@
 class CallerConnections:
     """Every connection from callers that is not lost yet, and the releases that wait for one."""
 
-    def __init__(self, bounds: Bounds) -> None:
-        self.bounds = bounds
+    def __init__(self, bounds: Bounds, metrics: Metrics) -> None:
         self.connections: dict[CallerConnection, None] = {}
-        self.waiting_releases: dict[str, int] = {}  # causes by call, for the next caller's connection
         self.drain_plan: DrainPlan | None = None  # set while connections are to be closed
+        self.bounds, self.metrics = bounds, metrics
+        self.pending = PendingReleases(
+            bounds.max_pending_release_bytes, bounds.max_pending_release_bytes_per_connection
+        )
+
+    def apply_bounds(self, bounds: Bounds) -> None:
+        """Applies the bounds of a new configuration."""
+        self.bounds = bounds
+        self.pending.set_limits(
+            bounds.max_pending_release_bytes, bounds.max_pending_release_bytes_per_connection
+        )
 
     def add(self, connection: CallerConnection) -> None:
         """Adds a new connection; at the limit an idle one is closed for it, or else the new one itself."""
         if len(self.connections) >= self.bounds.max_caller_connections and not self.close_idle_connection():
-            bad_input_log.warning(
+            limited_log.warning(
                 "caller connection limit reached and none is idle, new connection closed",
                 open=len(self.connections),
             )
@@ -45,41 +55,15 @@
             return
         self.connections[connection] = None
 
-    def send_waiting_releases(self, connection: CallerConnection) -> None:
-        """Sends the releases that found no connection on this one, which has carried a call."""
-        waiting, self.waiting_releases = self.waiting_releases, {}
-        for call, cause in waiting.items():
-            self.release(call, cause, connection)
-
     def remove(self, connection: CallerConnection) -> None:
-        """Removes a lost connection; releases that crossed its end are sent again on another one."""
+        """Removes a lost connection; releases that may be unread on it are sent again on another one."""
         self.connections.pop(connection, None)
-        now_ns = time.monotonic_ns()
-        repeated = connection.unread_releases(now_ns - UNREAD_RELEASE_NS)
-        self.log_unproven_releases(connection, repeated, now_ns)
-        for call, cause in repeated.items():
-            self.release(call, cause, None)
+        self.repeat_unread(connection, connection.end)
 
-    @staticmethod
-    def log_unproven_releases(connection: CallerConnection, repeated: dict[str, int], now_ns: int) -> None:
-        """Logs the releases that nothing received after them shows to have been read on a lost connection."""
-        unproven = {
-            call: (now_ns - release.sent_at_ns) // MS
-            for call, release in connection.sent_releases.items()
-            if release.sent_at_ns >= connection.last_received_at_ns
-        }
-        if unproven:
-            log.info(
-                "caller connection lost with releases that may be unread",
-                connection=connection.number,
-                was_closed_here=connection.closing_since_ns > 0,
-                was_closed_by_caller=connection.was_read_to_end,
-                silent_ms=(now_ns - connection.last_received_at_ns) // MS,
-                unread=len(unproven),
-                repeated=len(unproven.keys() & repeated.keys()),
-                oldest_ms=max(unproven.values()),
-                first_calls=sorted(unproven)[:MAX_LOGGED_CALLS],
-            )
+    def close_connection(self, connection: CallerConnection) -> None:
+        """Closes a connection; what may be unread on it is sent again at once, before others close too."""
+        self.repeat_unread(connection, ConnectionEnd.CLOSED_HERE)
+        connection.close()
 
     def close_idle_connection(self) -> bool:
         """Closes the least useful idle connection, to make room for a new one; returns whether there was one.
@@ -93,10 +77,10 @@
         connection = next((each for each in idle if not each.has_unread_bytes), None)
         if connection is None:
             return False
-        bad_input_log.warning(
+        limited_log.warning(
             "caller connection limit reached, idle connection closed", open=len(self.connections)
         )
-        connection.close()
+        self.close_connection(connection)
         return True
 
     @staticmethod
@@ -135,9 +119,15 @@
         )
 
     def sweep(self, now_ns: int) -> None:
-        """Closes connections that are overdue or are to be closed and idle; called periodically."""
+        """Closes connections that are overdue or are to be closed and idle, and repeats releases.
+
+        Called periodically. The connection that received data last is closed last: it is the one most likely
+        to carry what is repeated.
+        """
         self.limit_unhandled_bytes()
-        for connection in list(self.connections):
+        self.repeat(self.pending.due_repetitions(now_ns))
+        self.count_settled()
+        for connection in sorted(self.connections, key=lambda each: each.last_received_at_ns):
             connection.sweep(now_ns)
             if self.drain_plan is not None and connection.is_open:
                 self.close_if_unused(connection, self.drain_plan, now_ns)
@@ -159,32 +149,95 @@
         Such data would be lost with the connection.
         """
         if drain_plan.may_close(self.current_use(connection), now_ns) and not connection.has_unread_bytes:
-            connection.close()
+            self.close_connection(connection)
 
-    def release(self, call: str, cause: int, connection: CallerConnection | None) -> None:
+    # Releases of answered calls
+
+    def release(self, release: PendingRelease, connection: CallerConnection | None) -> None:
         """Sends the release of an answered call on the given connection, another one or the next one.
 
         `connection` is where the call was set up. If it is closed, another connection that has carried
         calls is used, the one that received data last first; if there is none, the release waits for the
-        next one, or is dropped if too many are waiting. Connections that have carried no call are left out:
-        a client that sends nothing does not act on a release. Neither does a front-end process that only
-        tests whether the controller accepts calls: it passes releases to nobody.
+        next one. Connections that have carried no call are left out: a client that sends nothing does not
+        act on a release. Neither does a front-end process that only tests whether the controller accepts
+        calls: it passes releases to nobody.
         """
-        if connection is not None and connection.is_open and connection.send_standing_release(call, cause):
-            log.debug("release written to caller", call=call, connection=connection.number, is_own=True)
+        self.pending.forget(release.call, SettledReason.SET_UP_AGAIN)
+        if connection is None or not self.write_release(release, [connection]):
+            self.write_or_wait(release, self.carrying_connections())
+
+    def carrying_connections(self) -> list[CallerConnection]:
+        """Returns the open connections that have carried calls; the one that received data last is first."""
+        carrying = [each for each in self.connections if each.is_open and each.has_carried_calls]
+        return sorted(carrying, key=lambda each: each.last_received_at_ns, reverse=True)
+
+    def write_or_wait(self, release: PendingRelease, connections: Iterable[CallerConnection]) -> bool:
+        """Writes a release to the first connection that can carry it, or has it wait; returns which."""
+        was_written = self.write_release(release, connections)
+        if not was_written:
+            log.debug("release waits for a caller's connection", call=release.call, unread_on=release.tried)
+            self.pending.record_waiting(release, time.monotonic_ns())
+        return was_written
+
+    def write_release(self, release: PendingRelease, connections: Iterable[CallerConnection]) -> bool:
+        """Writes a release to the first of these connections that has not carried it; False if none has."""
+        for connection in connections:
+            if connection.number in release.tried or not connection.is_open:
+                continue
+            if connection.send_release(release.call, release.cause):
+                log.debug("release written to caller", call=release.call, connection=connection.number)
+                self.pending.record_written(release, connection.carrier, time.monotonic_ns())
+                return True
+        return False
+
+    def repeat(self, releases: list[PendingRelease]) -> None:
+        """Sends releases again that may be unread, each on a connection that has not carried it."""
+        if not releases:
             return
-        others = [each for each in self.connections if each.is_open and each.has_carried_calls]
-        for other in sorted(others, key=lambda each: each.last_received_at_ns, reverse=True):
-            if other.send_standing_release(call, cause):
-                log.debug("release written to caller", call=call, connection=other.number, is_own=False)
-                return
-        log.debug("release waits for a caller's connection", call=call)
-        if len(self.waiting_releases) < self.bounds.max_table_entries:
-            self.waiting_releases[call] = cause
+        connections = self.carrying_connections()
+        for release in releases:
+            reason = release.repeat_reason
+            unread_on = release.tried.copy()
+            if self.write_or_wait(release, connections) and unread_on:
+                self.metrics.releases_repeated[reason] += 1
+                log.debug("release repeated", call=release.call, unread_on=unread_on, reason=reason.value)
+
+    def send_waiting_releases(self) -> None:
+        """Sends the releases that wait for a connection, as a new one has carried a call."""
+        self.repeat(self.pending.waiting_repetitions(time.monotonic_ns()))
+
+    def repeat_unread(self, connection: CallerConnection, end: ConnectionEnd) -> None:
+        """Sends the releases again that may be unread on a connection that has ended or is to be closed."""
+        pending_count = len(connection.carrier.releases)
+        if not pending_count:
+            return
+        now_ns = time.monotonic_ns()
+        to_repeat = self.pending.connection_ended(connection.carrier, end, connection.has_calls, now_ns)
+        limited_log.info(
+            "caller connection ended with releases that may be unread",
+            connection=connection.number,
+            end=end.value,
+            silent_ms=(now_ns - connection.last_received_at_ns) // MS,
+            pending=pending_count,
+            repeated=len(to_repeat),
+            first_calls=[release.call for release in to_repeat[:MAX_LOGGED_CALLS]],
+        )
+        self.repeat(to_repeat)
+
+    def count_settled(self) -> None:
+        """Counts and logs the releases that are not kept any longer."""
+        for settled in self.pending.take_settled():
+            self.metrics.releases_settled[settled.reason] += 1
+            log.debug(
+                "release settled",
+                call=settled.release.call,
+                reason=settled.reason.value,
+                connections=settled.release.tried,
+            )
 
     async def close(self, until_ns: int) -> None:
         """Closes all connections after what was written is sent, and waits for that until `until_ns`."""
-        for connection in self.connections:
-            connection.close()
+        for connection in sorted(self.connections, key=lambda each: each.last_received_at_ns):
+            self.close_connection(connection)
         while self.connections and time.monotonic_ns() < until_ns:
             await asyncio.sleep(0.005)
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -7,7 +7,6 @@
 
 import sys
 import time
-from collections import OrderedDict
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -24,7 +23,8 @@
     parse_integer,
 )
 from arrowkeel.net.config import Bounds
-from arrowkeel.net.connection import MessageConnection, SentRelease, SharedTurns, log
+from arrowkeel.net.connection import MessageConnection, SharedTurns, log
+from arrowkeel.pending_releases import Carrier, ConnectionEnd
 
 MS = 1_000_000  # nanoseconds in a millisecond
 MAX_PATIENCE_MS = 3_600_000  # no caller waits for an hour; a larger value is reduced to this
@@ -75,6 +75,7 @@
     - `call_offered` returns False if the set-up turns out not to be valid.
     - `release_received` ends a call before or after its answer, as the caller on that connection asks, and
       returns what was done with the release.
+    - `receipt_received` names a call whose release the caller has read.
     - `set_up_skipped` follows a set-up that is not accepted, as its caller has closed the connection.
     - `abort_call` ends an open call with a final answer, because its caller cannot go on with it.
     """
@@ -87,6 +88,7 @@
     def caller_disconnected(self, connection: CallerConnection) -> None: ...
     def call_offered(self, connection: CallerConnection, offer: Offer) -> bool: ...
     def release_received(self, connection: CallerConnection, call: str, cause: int) -> ReleaseVerdict: ...
+    def receipt_received(self, connection: CallerConnection, call: str) -> None: ...
     def set_up_skipped(self) -> None: ...
     def abort_call(self, connection: CallerConnection, call: str) -> None: ...
 
@@ -141,17 +143,27 @@
         self.open_call_bytes = 0  # of the calls in `open_calls`
         self.open_calls: set[str] = set()  # set up here, without their final answer yet
         self.standing_calls: set[str] = set()  # set up here, answered and not over
-        # The latest releases of answered calls sent here, in case they cross the caller's end of it.
-        self.sent_releases: OrderedDict[str, SentRelease] = OrderedDict()
         # Set-ups that were rejected or refused on arrival, in case their caller gives them up.
         self.declined_set_ups = DeclinedSetUps(bounds.max_ids_per_connection)
         # Set-ups that were accepted, or refused for no fault of their own; and those that were not valid.
         self.valid_set_ups = self.invalid_set_ups = 0
         # Connections that only test whether the controller accepts calls never carry one.
         self.has_carried_calls = False
-        self.last_received_at_ns = self.connected_at_ns = time.monotonic_ns()
+        self.connected_at_ns = time.monotonic_ns()
+        self.carrier = Carrier(self.number, last_received_at_ns=self.connected_at_ns)
+        self.end = ConnectionEnd.RESET  # how the connection ended, once it is lost
         self.message_budget = MessageBudget.full(bounds.max_calls, self.connected_at_ns)
 
+    @property
+    def last_received_at_ns(self) -> int:
+        """When data was last received; when the connection was opened, before that."""
+        return self.carrier.last_received_at_ns
+
+    @property
+    def has_calls(self) -> bool:
+        """Whether calls that were set up here are open or stand."""
+        return bool(self.open_calls or self.standing_calls)
+
     def connection_made(self, transport: object) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
         self.handler.caller_connected(self)
@@ -159,11 +171,20 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.decoder.skips_set_ups = True
         super().connection_lost(exc)
+        self.end = self.find_end(was_reset=exc is not None or self.was_aborted)
         self.handler.caller_disconnected(self)
 
+    def find_end(self, was_reset: bool) -> ConnectionEnd:
+        """Returns how the connection has ended."""
+        if was_reset:
+            return ConnectionEnd.RESET
+        if self.closing_since_ns:
+            return ConnectionEnd.CLOSED_HERE
+        return ConnectionEnd.CLOSED_BY_CALLER if self.was_read_to_end else ConnectionEnd.RESET
+
     def data_received(self, data: bytes) -> None:
         if data:
-            self.last_received_at_ns = time.monotonic_ns()
+            self.carrier.last_received_at_ns = time.monotonic_ns()
             self.message_budget.refill(self.last_received_at_ns)
         if not self.decoder.skips_set_ups and self.has_peer_closed:
             self.handle_caller_left()
@@ -195,7 +216,10 @@
                 result = TEST_PASSED if self.handler.accepts_calls else TEST_FAILED
                 self.write(encode(MessageType.TEST_RESULT, message.call, {Parameter.CAUSE: result}))
                 self.count_message_without_effect()
-            case MessageType.PROGRESS | MessageType.RELEASE_COMPLETE:
+            case MessageType.RELEASE_COMPLETE:
+                self.handler.receipt_received(self, message.call)
+                self.count_message_without_effect()
+            case MessageType.PROGRESS:
                 self.count_message_without_effect()
             case _:
                 raise MalformedMessageError(f"message type {message.type} is not valid from a caller")
@@ -235,7 +259,7 @@
         """Closes the connection if it has sent too many of these and carries no call that would suffer."""
         if not self.message_budget.is_exhausted:
             self.message_budget.spend()
-        elif not self.open_calls and not self.standing_calls:
+        elif not self.has_calls:
             self.handle_protocol_error("too many messages without effect")
         else:
             log.warning("messages without effect over the limit", connection=self.number)
@@ -303,29 +327,3 @@
     def send_release(self, call: str, cause: int) -> bool:
         """Returns whether the release was written."""
         return self.write(encode(MessageType.RELEASE, call, {Parameter.CAUSE: bytes((cause,))}))
-
-    def send_standing_release(self, call: str, cause: int) -> bool:
-        """Releases an answered call; returns whether the release was written.
-
-        The release is remembered in case the caller ends the connection without reading it.
-        """
-        if not self.send_release(call, cause):
-            return False
-        self.sent_releases.pop(call, None)
-        self.sent_releases[call] = SentRelease(cause, time.monotonic_ns())
-        if len(self.sent_releases) > self.bounds.max_ids_per_connection:
-            self.sent_releases.popitem(last=False)
-        return True
-
-    def unread_releases(self, since_ns: int) -> dict[str, int]:
-        """Returns the releases, with their causes, that the caller may not have read when it disconnected.
-
-        These are the ones written after `since_ns`; none if the connection was closed from this side.
-        """
-        if self.closing_since_ns:
-            return {}  # closed here, after everything written had been sent
-        return {
-            call: release.cause
-            for call, release in self.sent_releases.items()
-            if release.sent_at_ns > since_ns
-        }
--- a/arrowkeel/net/config.py
+++ b/arrowkeel/net/config.py
@@ -103,7 +103,9 @@
     max_open_call_bytes: int  # numbers and descriptions of all open calls, which may still have to be sent
     max_open_call_bytes_per_connection: int  # the same of the calls set up on one caller's connection
     max_numbers: int  # numbers called that the decision module remembers, in each of two tables
-    max_ids_per_connection: int  # identifiers remembered for one caller's connection, in each of two tables
+    max_ids_per_connection: int  # identifiers remembered for one caller's connection
+    max_pending_release_bytes: int  # of releases that callers may not have read
+    max_pending_release_bytes_per_connection: int  # the same of those written to one caller's connection
     max_table_entries: int  # of each table with small entries: ended calls, waiting releases, queued set-ups
     max_unhandled_bytes: int  # received from all callers and not handled yet, as of incomplete messages
     max_unsent_bytes: int  # buffered for one peer that does not read; beyond it the connection is closed
@@ -132,6 +134,8 @@
             max_ids_per_connection=min(
                 MAX_IDS_PER_CONNECTION, spare_bytes // (16 * ID_ENTRY_BYTES * caller_connections)
             ),
+            max_pending_release_bytes=spare_bytes // 16,
+            max_pending_release_bytes_per_connection=spare_bytes // 64,
             max_table_entries=spare_bytes // 16384,
             max_unhandled_bytes=spare_bytes // 8,
             # Half of the spare memory, divided among the callers' connections, but at least 32 KiB.
--- a/arrowkeel/net/connection.py
+++ b/arrowkeel/net/connection.py
@@ -19,7 +19,6 @@
 import termios
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any, cast
 
 import structlog
@@ -79,14 +78,6 @@
         log.warning(event, took_ms=took_ns // 1_000_000, **fields)
 
 
-@dataclass(frozen=True, slots=True)
-class SentRelease:
-    """A release written to a connection, kept to be sent again if the connection loses it."""
-
-    cause: int
-    sent_at_ns: int  # when it was written
-
-
 class SharedTurns:
     """The connections that share the messages of one iteration of the event loop."""
 
@@ -120,6 +111,7 @@
         self.is_write_paused = False  # the peer does not read what is written
         self.is_read_paused = False
         self.was_read_to_end = False  # the peer closed the connection and all that it sent has been read
+        self.was_aborted = False  # closed here without sending what had been written
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -264,7 +256,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once and discards what has not been sent."""
-        self.ignores_input = True
+        self.ignores_input = self.was_aborted = True
         if self.transport is not None:
             self.transport.abort()
 
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -31,8 +31,9 @@
 from arrowkeel.net.exchange_pool import ExchangePool
 from arrowkeel.net.membership import Membership
 from arrowkeel.net.metrics import ConnectionLoss, IgnoredExchangeRelease, Metrics, ReleaseReason
+from arrowkeel.pending_releases import EVIDENCE_DELAY_NS, PendingRelease, SettledReason
 from arrowkeel.policy import Policy
-from arrowkeel.release_delivery import Clearance
+from arrowkeel.release_delivery import RELEASE_TIMEOUT_NS, Clearance
 
 # How long the policy has for its answer after the deadline of a call, before the call is ended here.
 OVERDUE_GRACE_NS = 15 * MS
@@ -48,7 +49,8 @@
         self.loop = asyncio.get_running_loop()
         self.class_names = frozenset(call_class.name for call_class in config.settings.classes)
         self.calls = CallTable(config.bounds)
-        self.callers = CallerConnections(config.bounds)
+        self.metrics = Metrics(call_class.name for call_class in config.settings.classes)
+        self.callers = CallerConnections(config.bounds, self.metrics)
         self.membership = Membership(self, config)
         self.waiting_releases: dict[str, int] = {}  # causes by call, of calls from before the start
         self.events: list[it.Event] = []
@@ -60,7 +62,6 @@
             self.membership.apply_update,
             config.bounds.max_change_log_line_bytes,
         )
-        self.metrics = Metrics(call_class.name for call_class in config.settings.classes)
         self.accepts_calls = True  # the result of a test that a caller asks for
 
     @property
@@ -95,7 +96,8 @@
         fixed_fields = ("name", "listen", "operator", "accept_fd", "seed", "settings", "report_names")
         deferred = [name for name in fixed_fields if getattr(config, name) != getattr(previous, name)]
         self.config = replace(config, **{name: getattr(previous, name) for name in fixed_fields})
-        self.calls.bounds = self.callers.bounds = config.bounds
+        self.calls.bounds = config.bounds
+        self.callers.apply_bounds(config.bounds)
         self.membership.config = self.config
         log.info("configuration reloaded", changelog=str(config.changelog), from_next_start=deferred)
         for update in config.initial_updates:
@@ -138,8 +140,9 @@
             "silent_exchanges": sum(pool.is_silent for pool in pools),
             "longest_silence_with_calls_ms": max(silences, default=0),
             "suspected_calls": sum(pool.release_delivery.suspected_count for pool in pools),
-            "releases_waiting_for_callers": len(self.callers.waiting_releases),
+            "releases_waiting_for_callers": len(self.callers.pending.waiting),
             "releases_waiting_for_exchanges": waiting,
+            "releases_maybe_unread": len(self.callers.pending.written),
             "caller_connections": len(self.callers.connections),
             "change_log_silence_ms": self.changelog.silent_ms(),
             "change_log_last": self.changelog.last_seq,
@@ -311,7 +314,7 @@
         self.callers.add(connection)
 
     def first_call_carried(self, connection: CallerConnection) -> None:
-        self.callers.send_waiting_releases(connection)
+        self.callers.send_waiting_releases()
 
     def abort_call(self, connection: CallerConnection, call: str) -> None:
         """Ends an open call that its caller cannot go on with: it fails, and its attempt is given up."""
@@ -319,6 +322,9 @@
         self.end_call_for_caller(call, ReleaseCause.NORMAL)
         self.fail_call(call, record)
 
+    def receipt_received(self, connection: CallerConnection, call: str) -> None:
+        self.callers.pending.record_receipt(connection.carrier, call)
+
     def set_up_skipped(self) -> None:
         self.metrics.set_ups_skipped += 1
 
@@ -339,6 +345,7 @@
         final answer on return.
         """
         call = offer.call
+        self.callers.pending.forget(call, SettledReason.SET_UP_AGAIN)
         if call in connection.open_calls:
             # Two set-ups with one identifier on one connection: an answer could not say which one it is for.
             self.abort_call(connection, call)
@@ -417,6 +424,8 @@
                 is_over_budget=connection.message_budget.is_exhausted,
             )
         )
+        if verdict in (ReleaseVerdict.CALL_ENDED, ReleaseVerdict.PASS_ON):
+            self.callers.pending.forget(call, SettledReason.RELEASED_BY_CALLER)
         if verdict in IGNORED_RELEASES:
             self.metrics.caller_releases_ignored[verdict] += 1
             bad_input_log.info(
@@ -519,23 +528,34 @@
     ) -> None:
         """Passes the release of a standing call to its caller, also of one from before the start."""
         record = self.calls.get(call)
+        now_ns = time.monotonic_ns()
         if record is None:
             if call in self.calls.ended:
                 self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_ENDED)
                 return
             self.calls.ended.add(call)
-            self.callers.release(call, cause, None)
+            self.callers.release(PendingRelease(call, cause, now_ns), None)
         elif not record.established_at_ns:
             self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_OPEN)
         elif record.pool is not pool:
             self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.OTHER_EXCHANGE)
         else:
-            ending = it.Ending.COMPLETED if cause == ReleaseCause.NORMAL else it.Ending.INTERRUPTED
-            outcome = self.attempt_outcome(call, record, record.attempts - 1, ending, over=True)
-            self.calls.end(call)
-            log.debug("call released", call=call, exchange=pool.exchange, cause=cause)
-            self.callers.release(call, cause, record.connection)
-            self.queue_event(replace(outcome, report=report))
+            ended_at_ns = pool.release_delivery.earliest_end_ns(call) or now_ns
+            self.end_standing_call(record, cause, ended_at_ns, report)
+
+    def end_standing_call(
+        self, record: CallRecord, cause: int, ended_at_ns: int, report: it.LoadReport | None = None
+    ) -> None:
+        """Releases a standing call towards its caller; it ended at that moment or later."""
+        call, connection = record.offer.call, record.connection
+        ending = it.Ending.COMPLETED if cause == ReleaseCause.NORMAL else it.Ending.INTERRUPTED
+        outcome = self.attempt_outcome(call, record, record.attempts - 1, ending, over=True)
+        self.calls.end(call)
+        log.debug("call released", call=call, exchange=outcome.exchange, cause=cause)
+        is_answer_read = connection.last_received_at_ns >= record.established_at_ns + EVIDENCE_DELAY_NS
+        answer_unread_until_ns = 0 if is_answer_read else record.deadline_at_ns
+        self.callers.release(PendingRelease(call, cause, ended_at_ns, answer_unread_until_ns), connection)
+        self.queue_event(replace(outcome, report=report))
 
     def ignore_exchange_release(self, pool: ExchangePool, call: str, reason: IgnoredExchangeRelease) -> None:
         """Counts and logs a release from an exchange that is not passed on."""
@@ -580,7 +600,7 @@
         interrupted = [
             call for call in standing if self.calls.records[call].established_at_ns < established_before_ns
         ]
-        self.release_standing_calls(pool, interrupted, reason)
+        self.release_standing_calls(pool, interrupted, reason, pool.last_received_at_ns)
 
     def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None:
         """Releases calls whose lease has expired.
@@ -598,13 +618,18 @@
         self.release_on_both_sides(pool, calls, ReleaseReason.RELEASE_LOST)
 
     def release_on_both_sides(self, pool: ExchangePool, calls: list[str], reason: ReleaseReason) -> None:
-        """Releases calls to their callers and at their exchange."""
-        self.release_standing_calls(pool, calls, reason)
+        """Releases calls to their callers and at their exchange; they may have ended some time ago."""
+        self.release_standing_calls(pool, calls, reason, time.monotonic_ns() - RELEASE_TIMEOUT_NS)
         for call in calls:
             pool.release(call, ReleaseCause.TEMPORARY_FAILURE)
 
-    def release_standing_calls(self, pool: ExchangePool, calls: list[str], reason: ReleaseReason) -> None:
-        """Releases calls to their callers in place of the exchange, and logs and counts them."""
+    def release_standing_calls(
+        self, pool: ExchangePool, calls: list[str], reason: ReleaseReason, ended_at_ns: int
+    ) -> None:
+        """Releases calls to their callers in place of the exchange, and logs and counts them.
+
+        `ended_at_ns` is the earliest moment at which they may have ended.
+        """
         if not calls:
             return
         log.warning(
@@ -618,7 +643,9 @@
         )
         self.metrics.standing_released[reason] += len(calls)
         for call in calls:
-            self.released_by_exchange(pool, call, ReleaseCause.TEMPORARY_FAILURE, None)
+            record = self.calls.get(call)
+            if record is not None and record.pool is pool:
+                self.end_standing_call(record, ReleaseCause.TEMPORARY_FAILURE, ended_at_ns)
 
     def exchange_list_changed(self, event: it.ExchangeList) -> None:
         """Reports a change of the exchange list to the policy."""
--- a/arrowkeel/net/exchange_connection.py
+++ b/arrowkeel/net/exchange_connection.py
@@ -17,7 +17,7 @@
 from arrowkeel import wire
 from arrowkeel.net.codec import MalformedMessageError, Message, MessageType, Parameter, ReleaseCause, encode
 from arrowkeel.net.config import MS
-from arrowkeel.net.connection import MessageConnection, SentRelease
+from arrowkeel.net.connection import MessageConnection
 from arrowkeel.net.metrics import ConnectionLoss
 
 log = structlog.get_logger()
@@ -43,6 +43,14 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class SentRelease:
+    """A release written to a connection, kept to be sent again if the connection loses it."""
+
+    cause: int
+    sent_at_ns: int  # when it was written
+
+
 @dataclass(frozen=True, slots=True)
 class SetUpRequest:
     """A set-up to send to an exchange: what the caller sent, and the latest time to wait for an answer."""
--- a/arrowkeel/net/metrics.py
+++ b/arrowkeel/net/metrics.py
@@ -13,6 +13,7 @@
 
 from arrowkeel import interface as it
 from arrowkeel.caller_release import IGNORED_RELEASES, ReleaseVerdict
+from arrowkeel.pending_releases import RepeatReason, SettledReason
 from arrowkeel.release_delivery import Clearance
 
 Label = TypeVar("Label", bound=Enum)
@@ -69,6 +70,8 @@
         self.dials_failed = 0
         self.exchange_releases_ignored = Counter[IgnoredExchangeRelease]()
         self.caller_releases_ignored = Counter[ReleaseVerdict]()
+        self.releases_repeated = Counter[RepeatReason]()  # to callers, on another connection
+        self.releases_settled = Counter[SettledReason]()  # to callers, and not kept any longer
 
     def render(self, gauges: Mapping[str, int]) -> str:
         """Returns one line for each counter and gauge: `controller.NAME:VALUE|c`, or `|g` for a gauge."""
@@ -99,6 +102,8 @@
             "exchange_releases_ignored", IgnoredExchangeRelease, self.exchange_releases_ignored
         )
         counts |= counters_by_label("caller_releases_ignored", IGNORED_RELEASES, self.caller_releases_ignored)
+        counts |= counters_by_label("releases_repeated", RepeatReason, self.releases_repeated)
+        counts |= counters_by_label("releases_settled", SettledReason, self.releases_settled)
         return counts
 
     @staticmethod
--- a/arrowkeel/release_delivery.py
+++ b/arrowkeel/release_delivery.py
@@ -158,6 +158,11 @@
             suspicion.calls.discard(call)
         self.suspicions = [suspicion for suspicion in self.suspicions if suspicion.calls]
 
+    def earliest_end_ns(self, call: str) -> int:
+        """The earliest moment at which a call may have ended without notice; 0 if it is not suspected."""
+        ends_ns = (each.earliest_end_ns for each in self.suspicions if call in each.calls)
+        return min(ends_ns, default=0)
+
     @property
     def suspected_count(self) -> int:
         """The number of calls that may have ended without notice."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -15,6 +15,7 @@
 from arrowkeel.net.config import ClockOffset, read_config
 from arrowkeel.net.exchange_pool import CONNECTIONS_PER_EXCHANGE
 from arrowkeel.net.service import Service
+from arrowkeel.pending_releases import EVIDENCE_DELAY_NS
 from tests.peers import CALL, OTHER, TIMEOUT_S, Peer, Program, running_program
 
 THIRD = "00000000000000c3"
@@ -104,13 +105,22 @@
     # The last connection that has carried calls stays open, to receive the release of its standing call.
     while time.monotonic() < keep_open_until:
         assert run_connection_test(busy) == b"\x00"
-    program.exchange.release(THIRD, 16)
-    busy.expect(MessageType.RELEASE, THIRD)
-    assert busy.receive() is None
+    for call in (THIRD, CALL):
+        time.sleep(2 * EVIDENCE_DELAY_NS / 1e9)
+        assert run_connection_test(busy) == b"\x00"
+        program.exchange.release(call, 16)
+        busy.expect(MessageType.RELEASE, call)
+    assert busy.socket.recv(1) == b"", "closed once the last of its calls is released"
     assert program.request("POST", "/active")[0] == 200 and program.request("GET", "/status")[0] == 200
     returned = program.connect_caller()
     assert run_connection_test(returned) == b"\x01"
-    program.establish_call(returned, OTHER)
+    returned.set_up(OTHER)
+    # Its connection was closed behind the release, which may thus be unread. The one before it was read: the
+    # test of the connection that followed it came later.
+    returned.expect(MessageType.RELEASE, CALL)
+    program.exchange.expect(MessageType.SET_UP, OTHER)
+    program.exchange.send(MessageType.ANSWER, OTHER, {Parameter.DESCRIPTION: b"answer"})
+    returned.expect(MessageType.ANSWER, OTHER)
 
 
 def test_in_standby_a_connection_stays_open_until_its_calls_are_released(program: Program) -> None:
@@ -130,7 +140,9 @@
     assert caller.receive() is None
     program.exchange.release(CALL, 16)  # a repeated release must not be kept for the next caller
     assert program.request("POST", "/active")[0] == 200
-    program.establish_call(program.connect_caller(), "00000000000000d4")
+    returned = program.connect_caller()
+    returned.release(CALL, 16)  # it has read the first one, which then is not repeated either
+    program.establish_call(returned, "00000000000000d4")
 
 
 def test_a_release_in_standby_waits_for_a_caller_and_is_not_sent_to_a_front_end(program: Program) -> None:
