Silent connections are suspected once their caller would have closed them, or late

Now a connection without calls is suspected when its caller would have closed it as idle (4 s, protocol page), one with calls only 7 s after the end of the call. A release that was repeated in silence goes on only to a connection that has brought data since. The releases to callers have a module of their own, net/caller_releases.py; caller_connections.py keeps the table.

In a wind-down a release may thus still come twice.

--- a/arrowkeel/net/caller_connections.py
+++ b/arrowkeel/net/caller_connections.py
@@ -1,53 +1,44 @@
 """The table of connections from callers.
 
-It bounds their number, closes them in standby and at the end of the process, and decides which of them
-carries the release of an answered call.
+It bounds their number, and closes them in standby and at the end of the process.
 """
 
 from __future__ import annotations
 
 import asyncio
 import time
-from collections.abc import Iterable
-
-import structlog
 
 from arrowkeel.departure import ConnectionUse, DrainPlan
+from arrowkeel.net.caller_releases import CallerReleases
 from arrowkeel.net.callers import CallerConnection
 from arrowkeel.net.config import MS, Bounds
-from arrowkeel.net.connection import log as limited_log
+from arrowkeel.net.connection import log
 from arrowkeel.net.metrics import Metrics
-from arrowkeel.pending_releases import ConnectionEnd, PendingRelease, PendingReleases, SettledReason
+from arrowkeel.pending_releases import ConnectionEnd
 
 # Added to the last-received time of a connection with an incomplete message when one is to be closed to make
 # room: it is worth more than one that has sent nothing.
 INCOMPLETE_MESSAGE_CREDIT_NS = 500 * MS
-MAX_LOGGED_CALLS = 8  # call identifiers in one log entry
-log = structlog.get_logger()
 
 
 class CallerConnections:
-    """Every connection from callers that is not lost yet, and the releases that wait for one."""
+    """Every connection from callers that is not lost yet, and the releases sent on them."""
 
     def __init__(self, bounds: Bounds, metrics: Metrics) -> None:
         self.connections: dict[CallerConnection, None] = {}
         self.drain_plan: DrainPlan | None = None  # set while connections are to be closed
-        self.bounds, self.metrics = bounds, metrics
-        self.pending = PendingReleases(
-            bounds.max_pending_release_bytes, bounds.max_pending_release_bytes_per_connection
-        )
+        self.bounds = bounds
+        self.releases = CallerReleases(self.carrying_connections, bounds, metrics)
 
     def apply_bounds(self, bounds: Bounds) -> None:
         """Applies the bounds of a new configuration."""
         self.bounds = bounds
-        self.pending.set_limits(
-            bounds.max_pending_release_bytes, bounds.max_pending_release_bytes_per_connection
-        )
+        self.releases.apply_bounds(bounds)
 
     def add(self, connection: CallerConnection) -> None:
         """Adds a new connection; at the limit an idle one is closed for it, or else the new one itself."""
         if len(self.connections) >= self.bounds.max_caller_connections and not self.close_idle_connection():
-            limited_log.warning(
+            log.warning(
                 "caller connection limit reached and none is idle, new connection closed",
                 open=len(self.connections),
             )
@@ -58,11 +49,11 @@
     def remove(self, connection: CallerConnection) -> None:
         """Removes a lost connection; releases that may be unread on it are sent again on another one."""
         self.connections.pop(connection, None)
-        self.repeat_unread(connection, connection.end)
+        self.releases.repeat_unread(connection, connection.end)
 
     def close_connection(self, connection: CallerConnection) -> None:
         """Closes a connection; what may be unread on it is sent again at once, before others close too."""
-        self.repeat_unread(connection, ConnectionEnd.CLOSED_HERE)
+        self.releases.repeat_unread(connection, ConnectionEnd.CLOSED_HERE)
         connection.close()
 
     def close_idle_connection(self) -> bool:
@@ -77,9 +68,7 @@
         connection = next((each for each in idle if not each.has_unread_bytes), None)
         if connection is None:
             return False
-        limited_log.warning(
-            "caller connection limit reached, idle connection closed", open=len(self.connections)
-        )
+        log.warning("caller connection limit reached, idle connection closed", open=len(self.connections))
         self.close_connection(connection)
         return True
 
@@ -125,8 +114,7 @@
         to carry what is repeated.
         """
         self.limit_unhandled_bytes()
-        self.repeat(self.pending.due_repetitions(now_ns))
-        self.count_settled()
+        self.releases.sweep(now_ns)
         for connection in sorted(self.connections, key=lambda each: each.last_received_at_ns):
             connection.sweep(now_ns)
             if self.drain_plan is not None and connection.is_open:
@@ -151,90 +139,11 @@
         if drain_plan.may_close(self.current_use(connection), now_ns) and not connection.has_unread_bytes:
             self.close_connection(connection)
 
-    # Releases of answered calls
-
-    def release(self, release: PendingRelease, connection: CallerConnection | None) -> None:
-        """Sends the release of an answered call on the given connection, another one or the next one.
-
-        `connection` is where the call was set up. If it is closed, another connection that has carried
-        calls is used, the one that received data last first; if there is none, the release waits for the
-        next one. Connections that have carried no call are left out: a client that sends nothing does not
-        act on a release. Neither does a front-end process that only tests whether the controller accepts
-        calls: it passes releases to nobody.
-        """
-        self.pending.forget(release.call, SettledReason.SET_UP_AGAIN)
-        if connection is None or not self.write_release(release, [connection]):
-            self.write_or_wait(release, self.carrying_connections())
-
     def carrying_connections(self) -> list[CallerConnection]:
         """Returns the open connections that have carried calls; the one that received data last is first."""
         carrying = [each for each in self.connections if each.is_open and each.has_carried_calls]
         return sorted(carrying, key=lambda each: each.last_received_at_ns, reverse=True)
 
-    def write_or_wait(self, release: PendingRelease, connections: Iterable[CallerConnection]) -> bool:
-        """Writes a release to the first connection that can carry it, or has it wait; returns which."""
-        was_written = self.write_release(release, connections)
-        if not was_written:
-            log.debug("release waits for a caller's connection", call=release.call, unread_on=release.tried)
-            self.pending.record_waiting(release, time.monotonic_ns())
-        return was_written
-
-    def write_release(self, release: PendingRelease, connections: Iterable[CallerConnection]) -> bool:
-        """Writes a release to the first of these connections that has not carried it; False if none has."""
-        for connection in connections:
-            if connection.number in release.tried or not connection.is_open:
-                continue
-            if connection.send_release(release.call, release.cause):
-                log.debug("release written to caller", call=release.call, connection=connection.number)
-                self.pending.record_written(release, connection.carrier, time.monotonic_ns())
-                return True
-        return False
-
-    def repeat(self, releases: list[PendingRelease]) -> None:
-        """Sends releases again that may be unread, each on a connection that has not carried it."""
-        if not releases:
-            return
-        connections = self.carrying_connections()
-        for release in releases:
-            reason = release.repeat_reason
-            unread_on = release.tried.copy()
-            if self.write_or_wait(release, connections) and unread_on:
-                self.metrics.releases_repeated[reason] += 1
-                log.debug("release repeated", call=release.call, unread_on=unread_on, reason=reason.value)
-
-    def send_waiting_releases(self) -> None:
-        """Sends the releases that wait for a connection, as a new one has carried a call."""
-        self.repeat(self.pending.waiting_repetitions(time.monotonic_ns()))
-
-    def repeat_unread(self, connection: CallerConnection, end: ConnectionEnd) -> None:
-        """Sends the releases again that may be unread on a connection that has ended or is to be closed."""
-        pending_count = len(connection.carrier.releases)
-        if not pending_count:
-            return
-        now_ns = time.monotonic_ns()
-        to_repeat = self.pending.connection_ended(connection.carrier, end, connection.has_calls, now_ns)
-        limited_log.info(
-            "caller connection ended with releases that may be unread",
-            connection=connection.number,
-            end=end.value,
-            silent_ms=(now_ns - connection.last_received_at_ns) // MS,
-            pending=pending_count,
-            repeated=len(to_repeat),
-            first_calls=[release.call for release in to_repeat[:MAX_LOGGED_CALLS]],
-        )
-        self.repeat(to_repeat)
-
-    def count_settled(self) -> None:
-        """Counts and logs the releases that are not kept any longer."""
-        for settled in self.pending.take_settled():
-            self.metrics.releases_settled[settled.reason] += 1
-            log.debug(
-                "release settled",
-                call=settled.release.call,
-                reason=settled.reason.value,
-                connections=settled.release.tried,
-            )
-
     async def close(self, until_ns: int) -> None:
         """Closes all connections after what was written is sent, and waits for that until `until_ns`."""
         for connection in sorted(self.connections, key=lambda each: each.last_received_at_ns):
--- a/arrowkeel/net/callers.py
+++ b/arrowkeel/net/callers.py
@@ -141,8 +141,6 @@
         super().__init__("caller", bounds.max_unsent_bytes, caller_turns)
         self.handler, self.bounds = handler, bounds
         self.open_call_bytes = 0  # of the calls in `open_calls`
-        self.open_calls: set[str] = set()  # set up here, without their final answer yet
-        self.standing_calls: set[str] = set()  # set up here, answered and not over
         # Set-ups that were rejected or refused on arrival, in case their caller gives them up.
         self.declined_set_ups = DeclinedSetUps(bounds.max_ids_per_connection)
         # Set-ups that were accepted, or refused for no fault of their own; and those that were not valid.
@@ -151,6 +149,7 @@
         self.has_carried_calls = False
         self.connected_at_ns = time.monotonic_ns()
         self.carrier = Carrier(self.number, last_received_at_ns=self.connected_at_ns)
+        self.open_calls, self.standing_calls = self.carrier.open_calls, self.carrier.standing_calls
         self.end = ConnectionEnd.RESET  # how the connection ended, once it is lost
         self.message_budget = MessageBudget.full(bounds.max_calls, self.connected_at_ns)
 
@@ -159,11 +158,6 @@
         """When data was last received; when the connection was opened, before that."""
         return self.carrier.last_received_at_ns
 
-    @property
-    def has_calls(self) -> bool:
-        """Whether calls that were set up here are open or stand."""
-        return bool(self.open_calls or self.standing_calls)
-
     def connection_made(self, transport: object) -> None:
         super().connection_made(transport)  # type: ignore[arg-type]
         self.handler.caller_connected(self)
@@ -259,7 +253,7 @@
         """Closes the connection if it has sent too many of these and carries no call that would suffer."""
         if not self.message_budget.is_exhausted:
             self.message_budget.spend()
-        elif not self.has_calls:
+        elif not self.carrier.has_calls:
             self.handle_protocol_error("too many messages without effect")
         else:
             log.warning("messages without effect over the limit", connection=self.number)
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -140,9 +140,9 @@
             "silent_exchanges": sum(pool.is_silent for pool in pools),
             "longest_silence_with_calls_ms": max(silences, default=0),
             "suspected_calls": sum(pool.release_delivery.suspected_count for pool in pools),
-            "releases_waiting_for_callers": len(self.callers.pending.waiting),
+            "releases_waiting_for_callers": len(self.callers.releases.pending.waiting),
             "releases_waiting_for_exchanges": waiting,
-            "releases_maybe_unread": len(self.callers.pending.written),
+            "releases_maybe_unread": len(self.callers.releases.pending.written),
             "caller_connections": len(self.callers.connections),
             "change_log_silence_ms": self.changelog.silent_ms(),
             "change_log_last": self.changelog.last_seq,
@@ -314,7 +314,7 @@
         self.callers.add(connection)
 
     def first_call_carried(self, connection: CallerConnection) -> None:
-        self.callers.send_waiting_releases()
+        self.callers.releases.send_waiting_releases()
 
     def abort_call(self, connection: CallerConnection, call: str) -> None:
         """Ends an open call that its caller cannot go on with: it fails, and its attempt is given up."""
@@ -323,7 +323,7 @@
         self.fail_call(call, record)
 
     def receipt_received(self, connection: CallerConnection, call: str) -> None:
-        self.callers.pending.record_receipt(connection.carrier, call)
+        self.callers.releases.pending.record_receipt(connection.carrier, call)
 
     def set_up_skipped(self) -> None:
         self.metrics.set_ups_skipped += 1
@@ -345,7 +345,7 @@
         final answer on return.
         """
         call = offer.call
-        self.callers.pending.forget(call, SettledReason.SET_UP_AGAIN)
+        self.callers.releases.pending.forget(call, SettledReason.SET_UP_AGAIN)
         if call in connection.open_calls:
             # Two set-ups with one identifier on one connection: an answer could not say which one it is for.
             self.abort_call(connection, call)
@@ -425,7 +425,7 @@
             )
         )
         if verdict in (ReleaseVerdict.CALL_ENDED, ReleaseVerdict.PASS_ON):
-            self.callers.pending.forget(call, SettledReason.RELEASED_BY_CALLER)
+            self.callers.releases.pending.forget(call, SettledReason.RELEASED_BY_CALLER)
         if verdict in IGNORED_RELEASES:
             self.metrics.caller_releases_ignored[verdict] += 1
             bad_input_log.info(
@@ -534,7 +534,7 @@
                 self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_ENDED)
                 return
             self.calls.ended.add(call)
-            self.callers.release(PendingRelease(call, cause, now_ns), None)
+            self.callers.releases.release(PendingRelease(call, cause, now_ns), None)
         elif not record.established_at_ns:
             self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_OPEN)
         elif record.pool is not pool:
@@ -554,7 +554,9 @@
         log.debug("call released", call=call, exchange=outcome.exchange, cause=cause)
         is_answer_read = connection.last_received_at_ns >= record.established_at_ns + EVIDENCE_DELAY_NS
         answer_unread_until_ns = 0 if is_answer_read else record.deadline_at_ns
-        self.callers.release(PendingRelease(call, cause, ended_at_ns, answer_unread_until_ns), connection)
+        self.callers.releases.release(
+            PendingRelease(call, cause, ended_at_ns, answer_unread_until_ns), connection
+        )
         self.queue_event(replace(outcome, report=report))
 
     def ignore_exchange_release(self, pool: ExchangePool, call: str, reason: IgnoredExchangeRelease) -> None:
--- a/arrowkeel/pending_releases.py
+++ b/arrowkeel/pending_releases.py
@@ -13,8 +13,9 @@
 A release that is not proved to be read is kept until the limit for it has passed, counted from the end of the
 call. A reset repeats all of them: what suggests that the connection worked does not show that the last data
 was read before it ended. Otherwise those are repeated that nothing suggests to be read: at once when their
-connection is closed in order, by either side, and at fixed times after the end of the call while it stays
-open. Each goes to a connection that has not carried it yet, or waits for one.
+connection is closed in order, by either side; while it stays open, once a caller without further calls would
+have closed it, and in any case before the limit. Each goes to a connection that has not carried it yet, or
+waits for one.
 
 A caller ignores the release of a call that is over, so a repetition does no harm, except before the call's
 answer: it would then count as the answer. So no release is repeated while an unread answer may still arrive,
@@ -34,10 +35,14 @@
 EVIDENCE_DELAY_NS = 250 * MS
 # A call must be released towards its caller within this time of its end (protocol page, rules on sockets).
 RELEASE_LIMIT_NS = 8000 * MS
-# When a release is repeated that nothing suggests to be read, counted from the end of the call. The first
-# time is after the moment at which callers close an idle connection, the last leaves time for the way.
-REPEAT_TIMES_NS = (4300 * MS, 6000 * MS, 7700 * MS)
-MAX_TIMED_WRITES = 1 + len(REPEAT_TIMES_NS)  # of one release, the first one included
+# When a release is repeated that nothing suggests to be read, counted from the end of the call. At the early
+# times only if the caller would have closed the connection by then; at the last ones in any case.
+EARLY_REPEAT_TIMES_NS = (4300 * MS, 5600 * MS)
+LAST_REPEAT_TIMES_NS = (7000 * MS, 7600 * MS)
+# The same for a release that is first written too late for all of these times, counted from the writing.
+LATE_REPEAT_DELAY_NS = 4300 * MS
+# A release is kept for at least this long after it was written, as its connection may end at that moment.
+MIN_KEEP_NS = 1000 * MS
 MAX_WRITES = 16  # of one release, those after the end of a connection included
 # Callers close a connection that has had no call on it for 4 s (protocol page), give or take their timers.
 MIN_IDLE_CLOSE_NS, MAX_IDLE_CLOSE_NS = 3950 * MS, 4250 * MS
@@ -89,13 +94,27 @@
     number: int  # of the connection, in the log
     last_received_at_ns: int  # or when it was opened
     last_written_at_ns: int = 0  # of a release
+    open_calls: set[str] = field(default_factory=set)  # set up on it, without their final answer yet
+    standing_calls: set[str] = field(default_factory=set)  # set up on it, answered and not over
     # By call; those of which this is the latest carrier, the one that was written first comes first.
     releases: dict[str, PendingRelease] = field(default_factory=dict)
 
+    @property
+    def has_calls(self) -> bool:
+        """Whether calls that were set up on the connection are open or stand."""
+        return bool(self.open_calls or self.standing_calls)
+
+    def idle_ns(self, now_ns: int) -> int:
+        """For how long the connection has had no call on it; 0 while it has one."""
+        return 0 if self.has_calls else now_ns - max(self.last_received_at_ns, self.last_written_at_ns)
+
     def is_idle_close(self, now_ns: int) -> bool:
-        """Whether a caller without calls on this connection closes it now because it has been idle."""
-        idle_ns = now_ns - max(self.last_received_at_ns, self.last_written_at_ns)
-        return MIN_IDLE_CLOSE_NS <= idle_ns <= MAX_IDLE_CLOSE_NS
+        """Whether a caller that closes the connection now does so because it has been idle."""
+        return MIN_IDLE_CLOSE_NS <= self.idle_ns(now_ns) <= MAX_IDLE_CLOSE_NS
+
+    def is_close_overdue(self, now_ns: int) -> bool:
+        """Whether a caller that has read that its calls are over would have closed the connection by now."""
+        return self.idle_ns(now_ns) > MAX_IDLE_CLOSE_NS
 
 
 @dataclass(slots=True, eq=False)
@@ -120,18 +139,39 @@
         return carrier is not None and carrier.last_received_at_ns >= self.written_at_ns + EVIDENCE_DELAY_NS
 
     @property
-    def keep_until_ns(self) -> int:
-        """Until when it is kept; one written late is kept for as long as it takes to repeat it once."""
-        return max(self.ended_at_ns + RELEASE_LIMIT_NS, self.written_at_ns + REPEAT_TIMES_NS[0])
+    def late_repeat_ns(self) -> int:
+        """When it is repeated that was written late; 0 if it has been repeated."""
+        return self.written_at_ns + LATE_REPEAT_DELAY_NS if len(self.tried) == 1 else 0
 
     @property
-    def next_repeat_ns(self) -> int:
-        """When it is to be repeated if nothing suggests until then that it was read."""
-        earliest_ns = self.written_at_ns + EVIDENCE_DELAY_NS
-        times_ns = (self.ended_at_ns + after_ns for after_ns in REPEAT_TIMES_NS)
-        late_ns = self.written_at_ns + REPEAT_TIMES_NS[0]
-        due_at_ns = next((time_ns for time_ns in times_ns if time_ns >= earliest_ns), late_ns)
-        return max(due_at_ns, self.answer_unread_until_ns)
+    def keep_until_ns(self) -> int:
+        """Until when it is kept after it was written."""
+        return max(self.ended_at_ns + RELEASE_LIMIT_NS, self.written_at_ns + MIN_KEEP_NS, self.late_repeat_ns)
+
+    def next_check_ns(self, now_ns: int) -> int:
+        """When it is next decided whether it is to be repeated; until then it may prove to be read."""
+        earliest_ns = max(now_ns + 1, self.written_at_ns + EVIDENCE_DELAY_NS)
+        times_ns = [self.ended_at_ns + after_ns for after_ns in EARLY_REPEAT_TIMES_NS + LAST_REPEAT_TIMES_NS]
+        check_at_ns = next((time_ns for time_ns in times_ns if time_ns >= earliest_ns), self.keep_until_ns)
+        return max(check_at_ns, self.answer_unread_until_ns)
+
+    def may_go_to(self, carrier: Carrier) -> bool:
+        """Whether it may be written to this connection.
+
+        One that was repeated in vain on a silent connection goes on only to one that has brought data since:
+        where all are silent, callers have probably stopped calling.
+        """
+        if carrier.number in self.tried:
+            return False
+        is_first_repeat = len(self.tried) < 2 or self.repeat_reason is not RepeatReason.SILENT
+        return is_first_repeat or carrier.last_received_at_ns > self.written_at_ns
+
+    def is_due(self, now_ns: int) -> bool:
+        """Whether it is to be repeated at a check, as nothing suggests that it was read."""
+        if self.carrier is None:
+            return True
+        is_last_time = now_ns >= self.ended_at_ns + LAST_REPEAT_TIMES_NS[0]
+        return is_last_time or self.carrier.is_close_overdue(now_ns)
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,7 +221,7 @@
         carrier.last_written_at_ns = now_ns
         carrier.releases[release.call] = release
         self.written[release.call] = release
-        self.schedule(release, release.next_repeat_ns)
+        self.schedule(release, release.next_check_ns(now_ns))
         if len(carrier.releases) > self.max_per_connection:
             self.settle(next(iter(carrier.releases.values())), SettledReason.TABLE_FULL)
         self.limit_total()
@@ -218,16 +258,9 @@
 
     # Repetition
 
-    def connection_ended(
-        self, carrier: Carrier, end: ConnectionEnd, has_calls: bool, now_ns: int
-    ) -> list[PendingRelease]:
-        """Returns the releases to be sent again as their connection has ended.
-
-        `has_calls` says whether calls that were set up on it are open or stand.
-        """
-        is_idle_close = (
-            end is ConnectionEnd.CLOSED_BY_CALLER and not has_calls and carrier.is_idle_close(now_ns)
-        )
+    def connection_ended(self, carrier: Carrier, end: ConnectionEnd, now_ns: int) -> list[PendingRelease]:
+        """Returns the releases to be sent again as their connection has ended."""
+        is_idle_close = end is ConnectionEnd.CLOSED_BY_CALLER and carrier.is_idle_close(now_ns)
         to_repeat = []
         for release in list(carrier.releases.values()):
             if end is not ConnectionEnd.RESET and release.is_suggested_read:
@@ -273,11 +306,12 @@
         if release.call in self.waiting:
             self.schedule(release, now_ns + RELEASE_LIMIT_NS)
             return False
-        if release.carrier is not None and len(release.tried) >= MAX_TIMED_WRITES:
-            if now_ns >= release.keep_until_ns:
-                self.settle(release, SettledReason.LIMIT_PASSED)
-            else:
-                self.schedule(release, release.keep_until_ns)
+        is_out_of_time = now_ns >= release.keep_until_ns and len(release.tried) > 1
+        if is_out_of_time or len(release.tried) >= MAX_WRITES:
+            self.settle(release, SettledReason.LIMIT_PASSED)
+            return False
+        if not release.is_due(now_ns):
+            self.schedule(release, release.next_check_ns(now_ns))
             return False
         return True
 
