Soak: callers' connections fall quiet, and work again, end, or stay so

Two of its tasks now have one fall quiet at a time, for 0.1 to 10 s; then it delivers what it held, is closed in order, reset, or stays quiet.

--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -241,6 +241,7 @@
         self.seed, self.folder = seed, folder
         self.loop = asyncio.get_running_loop()
         self.random, self.ledger = Random(seed), Ledger()
+        self.quiet_random = Random(f"quiet connections {seed}")  # so that the other faults stay as they were
         self.events: list[dict[str, Any]] = []
         self.faults: list[str] = []
         mean_holding_s = self.random.choice([0.5, 2.0, 6.0])
@@ -292,6 +293,7 @@
             for each in self.controllers
         ]
         run_tasks += [self.loop.create_task(self.inject_faults(started_at_s)) for _ in range(3)]
+        run_tasks += [self.loop.create_task(self.quieten_connections(started_at_s)) for _ in range(2)]
         await asyncio.gather(*run_tasks)
         await asyncio.sleep(max(0.0, started_at_s + FAULT_PERIOD_S + SETTLE_S - self.now_s))
         for controller in self.controllers:
@@ -342,6 +344,14 @@
             self.faults.append(f"{self.now_s - started_at_s:.2f} {fault.__name__}")
             await fault()
 
+    async def quieten_connections(self, started_at_s: float) -> None:
+        """Has callers' connections fall quiet, one after the other; two tasks do this at the same time."""
+        while self.now_s < started_at_s + FAULT_PERIOD_S:
+            await asyncio.sleep(self.quiet_random.uniform(0.1, 1.0))
+            callers = self.quiet_random.choice(self.controllers).callers
+            self.faults.append(f"{self.now_s - started_at_s:.2f} quieten_connection")
+            await callers.quieten_connection(self.quiet_random)
+
     def pick_exchange_without_fault(self) -> StandInExchange | None:
         """Returns a random exchange that no exclusive fault has, or None if at most one is left.
 
--- a/tests/standins/callers.py
+++ b/tests/standins/callers.py
@@ -26,6 +26,8 @@
 PATIENCE_RANGE_S = (0.3, 3.0)
 # Causes of a final release that count as "refused" in the ledger; all others count as "failed".
 REFUSAL_CAUSES = (ReleaseCause.NO_CIRCUIT, ReleaseCause.CONGESTION, ReleaseCause.SET_UP_NOT_SENT)
+# How long the connection of a usual caller is quiet: up to longer than a release may take.
+QUIET_RANGE_S = (0.1, 10.0)
 # What bad clients send: invalid or incomplete messages, another protocol, or nothing.
 MALFORMED_INPUTS = (
     b"\x00\x03abc",
@@ -47,6 +49,13 @@
         self.open_set_ups: dict[str, tuple[float, bytes]] = {}
         self.partial_writes = 0  # messages that are being written in pieces
         self.was_reset_locally = False
+        self.is_quiet = False  # open, but nothing gets through in either direction
+        self.held_messages: list[Message] = []  # received while it is quiet
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the connection is open and not quiet."""
+        return self.is_open and not self.is_quiet
 
     @property
     def is_open(self) -> bool:
@@ -58,16 +67,32 @@
 
     def data_received(self, data: bytes) -> None:
         for message in self.decoder.feed(data):
-            self.callers.handle_message(self, message)
+            if self.is_quiet:
+                self.held_messages.append(message)
+                self.callers.record_held_message(message)
+            else:
+                self.callers.handle_message(self, message)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.callers.handle_closed_connection(self)
 
     def write(self, data: bytes) -> None:
-        """Writes the bytes if the connection is open; drops them otherwise."""
-        if self.transport is not None and self.is_open:
+        """Writes the bytes if the connection is usable; drops them otherwise."""
+        if self.transport is not None and self.is_usable:
             self.transport.write(data)
 
+    def resume(self) -> None:
+        """Ends the quiet: what was held is handled now."""
+        self.is_quiet = False
+        held_messages, self.held_messages = self.held_messages, []
+        for message in held_messages:
+            self.callers.handle_message(self, message)
+
+    def close(self) -> None:
+        """Closes the connection in order; what was held is lost."""
+        if self.transport is not None:
+            self.transport.close()
+
     def reset(self) -> None:
         """Closes the connection with a TCP reset."""
         if self.transport is not None and self.is_open:
@@ -91,6 +116,7 @@
         self.tasks: set[asyncio.Task[None]] = set()
         # Set-ups sent, their outcomes, and exemptions from the ledger's rules on missing messages.
         self.counts = {"offered": 0, "answered": 0, "refused": 0, "failed": 0, "exempt": 0}
+        self.counts |= {"quiet connections ended": 0, "releases held": 0}
 
     @property
     def now_s(self) -> float:
@@ -117,7 +143,7 @@
 
     async def pick_connection(self) -> CallerConnection | None:
         """Returns an open connection at random, sometimes a new one; None if there is none."""
-        usable = [connection for connection in self.connections if connection.is_open]
+        usable = [connection for connection in self.connections if connection.is_usable]
         if len(usable) < SHARED_CONNECTIONS or self.random.random() < 0.1:
             new_connection = await self.connect()
             if new_connection is not None:
@@ -210,7 +236,7 @@
         """Cancels a set-up without a final response, once no message is being written in pieces."""
         if connection.partial_writes:
             self.loop.call_later(0.05, self.cancel_call, connection, call)
-        elif call in connection.open_set_ups and connection.is_open:
+        elif call in connection.open_set_ups and connection.is_usable:
             del connection.open_set_ups[call]
             self.exempt_call(call)
             connection.write(
@@ -246,7 +272,7 @@
     def hang_up(self, call: str) -> None:
         """Releases a standing call on any connection that is free to write."""
         connection = next(
-            (each for each in self.connections if each.is_open and not each.partial_writes), None
+            (each for each in self.connections if each.is_usable and not each.partial_writes), None
         )
         if call in self.standing_calls and connection is not None:
             del self.standing_calls[call]
@@ -261,7 +287,7 @@
             self.connections.remove(connection)
         for call, (sent_at_s, message) in list(connection.open_set_ups.items()):
             del connection.open_set_ups[call]
-            if self.was_killed or connection.was_reset_locally:
+            if self.was_killed or connection.was_reset_locally or connection.is_quiet:
                 self.exempt_call(call)
             elif self.now_s - sent_at_s <= RESEND_WINDOW_S:
                 self.start_task(self.resend_set_up(call, message))
@@ -288,6 +314,32 @@
             self.exempt_call(call)
         self.standing_calls.clear()
 
+    # Quiet connections
+
+    async def quieten_connection(self, random: Random) -> None:
+        """Has one connection fall quiet for a while; then it works again or ends, or it stays quiet.
+
+        The callers give up the set-ups that are open on it, as they cannot learn what becomes of them.
+        """
+        idle = [each for each in self.connections if each.is_usable and not each.partial_writes]
+        if not idle:
+            return
+        connection = random.choice(idle)
+        connection.is_quiet = True
+        for call in connection.open_set_ups:
+            self.exempt_call(call)
+        end_quiet = random.choice([connection.resume, connection.close, connection.reset, None])
+        await asyncio.sleep(random.uniform(*QUIET_RANGE_S))
+        if end_quiet is not None and connection.is_open:
+            self.counts["quiet connections ended"] += 1
+            end_quiet()
+
+    def record_held_message(self, message: Message) -> None:
+        """Notes a release that was written to a quiet connection: it could not be delivered on it."""
+        if message.type == MessageType.RELEASE and message.call in self.standing_calls:
+            self.counts["releases held"] += 1
+            self.ledger.record_held_release(message.call)
+
     # Other clients
 
     async def send_malformed_input(self) -> None:
--- a/tests/standins/ledger.py
+++ b/tests/standins/ledger.py
@@ -54,6 +54,7 @@
     established_at_s: float | None = None  # when an exchange answered the call
     over_at_s: float | None = None  # when the answered call ended at its exchange
     release_was_sent: bool = False  # the exchange's release message left on a working connection
+    release_was_held: bool = False  # the release towards the caller was written to a quiet connection
     released_at_s: float | None = None  # when the release reached the caller, or when the caller sent one
     connection_notes: str = ""  # what the caller observed of its connection, for the violation's text
 
@@ -114,6 +115,10 @@
         if record.over_at_s is None and record.established_at_s is not None:
             self.standing_calls_released += 1
 
+    def record_held_release(self, call: str) -> None:
+        """Records that the release was written to a connection of callers that was quiet at that moment."""
+        self.calls[call].release_was_held = True
+
     def exempt_call(self, call: str) -> None:
         """Exempts the call from the rules on missing and late messages to its caller."""
         self.calls[call].is_exempt = True
@@ -190,13 +195,13 @@
     def check_release_time(self, call: str, record: Call, now_s: float) -> None:
         """Adds a violation if an answered call that is over was released too late, or not at all by now."""
         assert record.over_at_s is not None
+        could_be_sent = record.release_was_sent and not record.release_was_held
         limit_s = (
-            record.over_at_s
-            + (RELEASE_LIMIT_S if record.release_was_sent else UNSENT_RELEASE_LIMIT_S)
-            + TOLERANCE_S
+            record.over_at_s + (RELEASE_LIMIT_S if could_be_sent else UNSENT_RELEASE_LIMIT_S) + TOLERANCE_S
         )
         if (record.released_at_s or now_s) > limit_s:
             notice = "release sent" if record.release_was_sent else "release not sent"
+            notice += ", and held on a quiet connection" if record.release_was_held else ""
             outcome = f"released at {record.released_at_s:.3f}" if record.released_at_s else "not released"
             self.record_violation(
                 "release in time",
