The ends of standing calls have a module of their own, out of the controller

What ends a standing call (its exchange's release, or this side in its place) is now net/standing_calls.py, on the table of calls and the releases to callers; the event of an attempt's end is made by the call's record.

--- a/arrowkeel/net/calls.py
+++ b/arrowkeel/net/calls.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from dataclasses import dataclass
 
+from arrowkeel import interface as it
 from arrowkeel.drill import RecentNames
 from arrowkeel.net.callers import CallerConnection, Offer
 from arrowkeel.net.config import Bounds
@@ -26,6 +28,12 @@
     established_at_ns: int = 0  # when the call was answered
     is_overdue: bool = False  # its deadline has passed, and the policy is to answer it now
 
+    def outcome(self, ending: it.Ending, over: bool = False) -> it.AttemptEnded:
+        """Returns the event for the end of the latest attempt; `over` where the call is over with it."""
+        exchange = self.pool.exchange if self.pool is not None else ""
+        delay_ns = time.monotonic_ns() - self.sent_at_ns
+        return it.AttemptEnded(self.offer.call, self.attempts - 1, exchange, ending, delay_ns, over)
+
     def cancel_timer(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
--- a/arrowkeel/net/controller.py
+++ b/arrowkeel/net/controller.py
@@ -30,14 +30,14 @@
 from arrowkeel.net.exchange_connection import ExchangeConnection, SetUpRequest
 from arrowkeel.net.exchange_pool import ExchangePool
 from arrowkeel.net.membership import Membership
-from arrowkeel.net.metrics import ConnectionLoss, IgnoredExchangeRelease, Metrics, ReleaseReason
-from arrowkeel.pending_releases import EVIDENCE_DELAY_NS, PendingRelease, SettledReason
+from arrowkeel.net.metrics import ConnectionLoss, Metrics, ReleaseReason
+from arrowkeel.net.standing_calls import StandingCalls
+from arrowkeel.pending_releases import SettledReason
 from arrowkeel.policy import Policy
-from arrowkeel.release_delivery import RELEASE_TIMEOUT_NS, Clearance
+from arrowkeel.release_delivery import Clearance
 
 # How long the policy has for its answer after the deadline of a call, before the call is ended here.
 OVERDUE_GRACE_NS = 15 * MS
-MAX_LOGGED_CALLS = 8  # call identifiers in one log entry
 log = structlog.get_logger()
 
 
@@ -51,6 +51,7 @@
         self.calls = CallTable(config.bounds)
         self.metrics = Metrics(call_class.name for call_class in config.settings.classes)
         self.callers = CallerConnections(config.bounds, self.metrics)
+        self.standing_calls = StandingCalls(self.calls, self.callers.releases, self.metrics, self.queue_event)
         self.membership = Membership(self, config)
         self.waiting_releases: dict[str, int] = {}  # causes by call, of calls from before the start
         self.events: list[it.Event] = []
@@ -446,7 +447,7 @@
         record = self.calls.get(call)
         if record is None:
             return
-        pool, attempt = record.pool, record.attempts - 1
+        pool = record.pool
         if pool is not None and record.established_at_ns:
             pool.release(call, cause)
         else:
@@ -455,7 +456,7 @@
                 pool.cancel_set_up(call)
         self.calls.end(call)
         if pool is not None:
-            self.queue_event(self.attempt_outcome(call, record, attempt, it.Ending.CANCELLED, over=True))
+            self.queue_event(record.outcome(it.Ending.CANCELLED, over=True))
 
     def release_to_any_exchange(self, call: str, cause: int) -> None:
         """Sends a release to any connected exchange, or to the next one that connects."""
@@ -467,14 +468,6 @@
 
     # From exchanges
 
-    def attempt_outcome(
-        self, call: str, record: CallRecord, attempt: int, ending: it.Ending, over: bool = False
-    ) -> it.AttemptEnded:
-        """Returns the event for the end of an attempt; `over` where the call is over with it."""
-        exchange = record.pool.exchange if record.pool is not None else ""
-        delay_ns = time.monotonic_ns() - record.sent_at_ns
-        return it.AttemptEnded(call, attempt, exchange, ending, delay_ns, over)
-
     def attempt_ended(
         self,
         call: str,
@@ -487,7 +480,7 @@
         record = self.calls.get(call)
         if record is None or record.pool is None or record.established_at_ns:
             return
-        outcome = self.attempt_outcome(call, record, record.attempts - 1, ending)
+        outcome = record.outcome(ending)
         self.metrics.attempts_ended[ending] += 1
         log.debug(
             "attempt ended",
@@ -523,47 +516,6 @@
             it.CallEstablished(call, record.attempts - 1, pool.exchange, now_ns - record.sent_at_ns)
         )
 
-    def released_by_exchange(
-        self, pool: ExchangePool, call: str, cause: int, report: it.LoadReport | None
-    ) -> None:
-        """Passes the release of a standing call to its caller, also of one from before the start."""
-        record = self.calls.get(call)
-        now_ns = time.monotonic_ns()
-        if record is None:
-            if call in self.calls.ended:
-                self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_ENDED)
-                return
-            self.calls.ended.add(call)
-            self.callers.releases.release(PendingRelease(call, cause, now_ns), None)
-        elif not record.established_at_ns:
-            self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.CALL_OPEN)
-        elif record.pool is not pool:
-            self.ignore_exchange_release(pool, call, IgnoredExchangeRelease.OTHER_EXCHANGE)
-        else:
-            ended_at_ns = pool.release_delivery.earliest_end_ns(call) or now_ns
-            self.end_standing_call(record, cause, ended_at_ns, report)
-
-    def end_standing_call(
-        self, record: CallRecord, cause: int, ended_at_ns: int, report: it.LoadReport | None = None
-    ) -> None:
-        """Releases a standing call towards its caller; it ended at that moment or later."""
-        call, connection = record.offer.call, record.connection
-        ending = it.Ending.COMPLETED if cause == ReleaseCause.NORMAL else it.Ending.INTERRUPTED
-        outcome = self.attempt_outcome(call, record, record.attempts - 1, ending, over=True)
-        self.calls.end(call)
-        log.debug("call released", call=call, exchange=outcome.exchange, cause=cause)
-        is_answer_read = connection.last_received_at_ns >= record.established_at_ns + EVIDENCE_DELAY_NS
-        answer_unread_until_ns = 0 if is_answer_read else record.deadline_at_ns
-        self.callers.releases.release(
-            PendingRelease(call, cause, ended_at_ns, answer_unread_until_ns), connection
-        )
-        self.queue_event(replace(outcome, report=report))
-
-    def ignore_exchange_release(self, pool: ExchangePool, call: str, reason: IgnoredExchangeRelease) -> None:
-        """Counts and logs a release from an exchange that is not passed on."""
-        self.metrics.exchange_releases_ignored[reason] += 1
-        log.debug("exchange's release ignored", exchange=pool.exchange, call=call, reason=reason.value)
-
     def set_up_sent(self) -> None:
         """Counts a set-up that was sent to an exchange."""
         self.metrics.upstream_tries += 1
@@ -587,67 +539,24 @@
     def suspicion_cleared(self, clearance: Clearance) -> None:
         self.metrics.suspicions_cleared[clearance] += 1
 
-    # Calls whose exchange will not release them any more
+    # Ends of standing calls
+
+    def released_by_exchange(
+        self, pool: ExchangePool, call: str, cause: int, report: it.LoadReport | None
+    ) -> None:
+        self.standing_calls.released_by_exchange(pool, call, cause, report)
 
     def exchange_process_died(self, pool: ExchangePool) -> None:
-        """Releases every call of an exchange whose connections were lost and that refuses new ones."""
         self.process_gone(pool, time.monotonic_ns(), ReleaseReason.REFUSING)
 
     def process_gone(self, pool: ExchangePool, established_before_ns: int, reason: ReleaseReason) -> None:
-        """Releases the calls that were answered before a moment at a process that is gone.
-
-        The process has interrupted them, and may have notified nobody.
-        """
-        standing = self.calls.standing_at(pool.exchange)
-        interrupted = [
-            call for call in standing if self.calls.records[call].established_at_ns < established_before_ns
-        ]
-        self.release_standing_calls(pool, interrupted, reason, pool.last_received_at_ns)
+        self.standing_calls.process_gone(pool, established_before_ns, reason)
 
     def leases_expired(self, pool: ExchangePool, calls: list[str]) -> None:
-        """Releases calls whose lease has expired.
-
-        The process that holds them may be alive and unreachable, so it gets the releases too, once it can be
-        reached.
-        """
-        self.release_on_both_sides(pool, calls, ReleaseReason.LEASE_EXPIRED)
+        self.standing_calls.release_on_both_sides(pool, calls, ReleaseReason.LEASE_EXPIRED)
 
     def releases_lost(self, pool: ExchangePool, calls: list[str]) -> None:
-        """Releases calls that may have ended, as their release may have been lost with its connections.
-
-        Those that still stand at the exchange are released there too.
-        """
-        self.release_on_both_sides(pool, calls, ReleaseReason.RELEASE_LOST)
-
-    def release_on_both_sides(self, pool: ExchangePool, calls: list[str], reason: ReleaseReason) -> None:
-        """Releases calls to their callers and at their exchange; they may have ended some time ago."""
-        self.release_standing_calls(pool, calls, reason, time.monotonic_ns() - RELEASE_TIMEOUT_NS)
-        for call in calls:
-            pool.release(call, ReleaseCause.TEMPORARY_FAILURE)
-
-    def release_standing_calls(
-        self, pool: ExchangePool, calls: list[str], reason: ReleaseReason, ended_at_ns: int
-    ) -> None:
-        """Releases calls to their callers in place of the exchange, and logs and counts them.
-
-        `ended_at_ns` is the earliest moment at which they may have ended.
-        """
-        if not calls:
-            return
-        log.warning(
-            "standing calls released",
-            exchange=pool.exchange,
-            reason=reason.value,
-            released=len(calls),
-            kept=len(self.calls.standing_at(pool.exchange)) - len(calls),
-            silent_ms=pool.silent_ms(),
-            first_calls=calls[:MAX_LOGGED_CALLS],
-        )
-        self.metrics.standing_released[reason] += len(calls)
-        for call in calls:
-            record = self.calls.get(call)
-            if record is not None and record.pool is pool:
-                self.end_standing_call(record, ReleaseCause.TEMPORARY_FAILURE, ended_at_ns)
+        self.standing_calls.release_on_both_sides(pool, calls, ReleaseReason.RELEASE_LOST)
 
     def exchange_list_changed(self, event: it.ExchangeList) -> None:
         """Reports a change of the exchange list to the policy."""
