The standby test sees again that a repeated release is not kept for the next caller

Now a caller that comes and goes in standby proves that the first release was read; then the exchange repeats it with no caller there, the program must count it as ignored, and the next caller must receive nothing but its own answer.

No file of the program changes.

--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -43,6 +43,12 @@
     return caller.expect(MessageType.TEST_RESULT, OTHER).parameters[Parameter.CAUSE]
 
 
+def count_ignored_repetitions(program: Program) -> int:
+    """How many releases from exchanges were repetitions, and not passed on."""
+    metrics = program.request("GET", "/status/metrics")[1]
+    return int(metrics.partition("exchange_releases_ignored.call_ended:")[2].partition("|")[0])
+
+
 def test_operators_are_answered_despite_silent_and_incomplete_requests(program: Program) -> None:
     """Connections without a complete request, more than are allowed at once, must not keep operators out."""
     silent = [socket.create_connection(program.operator_address, TIMEOUT_S) for _ in range(60)]
@@ -138,11 +144,18 @@
     program.exchange.release(CALL, 16)
     caller.expect(MessageType.RELEASE)
     assert caller.receive() is None
+    returned = program.connect_caller()
+    returned.release(CALL, 16)  # proves that the first release was read, so that it is not kept either
+    returned.wait_until_processed()
+    returned.socket.close()
+    ignored_before = count_ignored_repetitions(program)
     program.exchange.release(CALL, 16)  # a repeated release must not be kept for the next caller
+    give_up_at = time.monotonic() + TIMEOUT_S
+    while count_ignored_repetitions(program) == ignored_before:
+        assert time.monotonic() < give_up_at, "the repeated release was passed on"
+        time.sleep(0.01)
     assert program.request("POST", "/active")[0] == 200
-    returned = program.connect_caller()
-    returned.release(CALL, 16)  # it has read the first one, which then is not repeated either
-    program.establish_call(returned, "00000000000000d4")
+    program.establish_call(program.connect_caller(), "00000000000000d4")
 
 
 def test_a_release_in_standby_waits_for_a_caller_and_is_not_sent_to_a_front_end(program: Program) -> None:
